Outcomes, message rewriting and pools of an entry, first parts

Cause: the entry needs a table of outcomes, a relay that keeps callers' prepared statements apart from connections, and bounded pools. Change: packages outcome, relay and pool; the opening of a forwarded transaction in protocol. Not wired up yet.

--- /dev/null
+++ b/entry/internal/pool/doc.go
@@ -0,0 +1,2 @@
+// Package pool keeps the bounded connections of an entry to one backend server.
+package pool
--- /dev/null
+++ b/entry/internal/pool/pool.go
@@ -0,0 +1,309 @@
+package pool
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"lentilwind.dev/lentilwind/group"
+)
+
+// ErrClosed is returned once a pool gives out no more connections.
+var ErrClosed = errors.New("pool: closed")
+
+// maxIdleFor is how long a connection stays open without use.
+const maxIdleFor = 5 * time.Minute
+
+// Want is what a transaction asks of a pool.
+type Want struct {
+	Scope Scope
+	Class Class
+}
+
+// Pool is the connections of an entry to one server.
+type Pool struct {
+	service group.Service
+	server  group.Server
+
+	mu      sync.Mutex
+	address netip.AddrPort
+	limit   int
+	open    int
+	closed  bool
+	idle    []*Conn
+	waiting waiters
+	// answered is when the server last answered anything.
+	answered time.Time
+	// failing is when the first attempt failed since; zero while the server answers.
+	failing time.Time
+}
+
+// NewPool returns an empty pool of at most limit connections.
+func NewPool(service group.Service, server group.Server, address netip.AddrPort, limit int) *Pool {
+	return &Pool{service: service, server: server, address: address, limit: limit, answered: time.Now()}
+}
+
+// Acquire returns a connection that nobody else uses, opened if need be.
+func (p *Pool) Acquire(ctx context.Context, want *Want) (*Conn, error) {
+	conn, err := p.reserve(ctx, want)
+	if err != nil || conn != nil {
+		return conn, err
+	}
+	return p.dial(ctx)
+}
+
+// reserve takes an idle connection, or the right to open one when it returns neither a connection nor an error.
+func (p *Pool) reserve(ctx context.Context, want *Want) (*Conn, error) {
+	p.mu.Lock()
+	if p.closed {
+		p.mu.Unlock()
+		return nil, ErrClosed
+	}
+	if p.waiting.len() == 0 {
+		if conn := p.takeIdle(want.Scope); conn != nil {
+			p.mu.Unlock()
+			return conn, nil
+		}
+		if p.open < p.limit {
+			p.open++
+			p.mu.Unlock()
+			return nil, nil
+		}
+	}
+	w, err := p.waiting.add(want, time.Now(), ctx)
+	p.mu.Unlock()
+	if err != nil {
+		return nil, err
+	}
+	return p.await(ctx, w)
+}
+
+func (p *Pool) await(ctx context.Context, w *waiter) (*Conn, error) {
+	select {
+	case g := <-w.granted:
+		return g.conn, g.err
+	case <-ctx.Done():
+	}
+	p.mu.Lock()
+	removed := p.waiting.remove(w)
+	p.mu.Unlock()
+	if removed {
+		return nil, ctx.Err()
+	}
+	g := <-w.granted
+	if g.err == nil {
+		p.Release(g.conn, g.conn != nil)
+	}
+	return nil, ctx.Err()
+}
+
+// takeIdle prefers a connection with the same scope, then one of the same workspace, then the one used last.
+func (p *Pool) takeIdle(scope Scope) *Conn {
+	for len(p.idle) > 0 {
+		best := len(p.idle) - 1
+		for i, conn := range p.idle {
+			if better(conn, p.idle[best], scope) {
+				best = i
+			}
+		}
+		conn := p.idle[best]
+		p.idle = slices.Delete(p.idle, best, best+1)
+		if conn.alive() {
+			return conn
+		}
+		p.open--
+		go func() { _ = conn.Close() }()
+	}
+	return nil
+}
+
+func better(a, b *Conn, scope Scope) bool { return fit(a, scope) > fit(b, scope) }
+
+func fit(c *Conn, scope Scope) int {
+	switch {
+	case !c.Scoped || c.Dirty:
+		return 1
+	case c.Scope == scope:
+		return 3
+	case c.Scope.Workspace == scope.Workspace:
+		return 2
+	}
+	return 0
+}
+
+// dial opens a connection for which the caller has reserved room.
+func (p *Pool) dial(ctx context.Context) (*Conn, error) {
+	p.mu.Lock()
+	address := p.address
+	p.mu.Unlock()
+	conn, err := Dial(ctx, address, p.service)
+	p.observe(err == nil)
+	if err != nil {
+		p.Release(nil, false)
+		return nil, err
+	}
+	return conn, nil
+}
+
+// observe records whether the server answered.
+func (p *Pool) observe(answered bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	if answered {
+		p.answered, p.failing = now, time.Time{}
+		return
+	}
+	if p.failing.IsZero() {
+		p.failing = now
+	}
+}
+
+// Answered records that the server has just answered.
+func (p *Pool) Answered() { p.observe(true) }
+
+// Silent records that a connection got no answer; idle ones must prove themselves before their next use.
+func (p *Pool) Silent() {
+	p.observe(false)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, conn := range p.idle {
+		conn.Proven = time.Time{}
+	}
+}
+
+// SilentFor returns the time since the server's last answer; 0 while nothing has failed.
+func (p *Pool) SilentFor(now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.failing.IsZero() {
+		return 0
+	}
+	return now.Sub(p.answered)
+}
+
+// Release gives a connection back; one that is not reusable is closed. A nil one gives back the right to open one.
+func (p *Pool) Release(conn *Conn, reusable bool) {
+	if conn != nil && (!reusable || conn.Cancelled()) {
+		_ = conn.Close()
+		conn = nil
+	}
+	p.mu.Lock()
+	if p.closed && conn != nil {
+		_ = conn.Close()
+		conn = nil
+	}
+	if conn == nil && (p.open > p.limit || p.waiting.len() == 0) {
+		p.open--
+		p.mu.Unlock()
+		return
+	}
+	if conn != nil && p.open > p.limit {
+		p.open--
+		p.mu.Unlock()
+		_ = conn.Close()
+		return
+	}
+	if w := p.waiting.next(time.Now(), conn); w != nil {
+		p.mu.Unlock()
+		w.granted <- grant{conn: conn}
+		return
+	}
+	if conn == nil {
+		p.open--
+	} else {
+		p.idle = append(p.idle, conn)
+	}
+	p.mu.Unlock()
+}
+
+// Configure changes the address and the limit; connections to an old address are closed.
+func (p *Pool) Configure(address netip.AddrPort, limit int) {
+	p.mu.Lock()
+	moved := address != p.address
+	p.address, p.limit = address, limit
+	var surplus []*Conn
+	if moved {
+		surplus, p.idle = p.idle, nil
+	}
+	for len(p.idle) > 0 && p.open-len(surplus) > p.limit {
+		surplus = append(surplus, p.idle[0])
+		p.idle = p.idle[1:]
+	}
+	p.open -= len(surplus)
+	granted := p.grantRoom()
+	p.mu.Unlock()
+	for _, conn := range surplus {
+		_ = conn.Close()
+	}
+	for _, w := range granted {
+		w.granted <- grant{}
+	}
+}
+
+// grantRoom lets waiting transactions open connections while there is room.
+func (p *Pool) grantRoom() []*waiter {
+	var granted []*waiter
+	for p.open < p.limit {
+		w := p.waiting.next(time.Now(), nil)
+		if w == nil {
+			break
+		}
+		p.open++
+		granted = append(granted, w)
+	}
+	return granted
+}
+
+// Trim closes connections that were not used for long.
+func (p *Pool) Trim(now time.Time) {
+	p.mu.Lock()
+	var old []*Conn
+	p.idle = slices.DeleteFunc(p.idle, func(conn *Conn) bool {
+		if now.Sub(conn.Proven) < maxIdleFor {
+			return false
+		}
+		old = append(old, conn)
+		return true
+	})
+	p.open -= len(old)
+	p.mu.Unlock()
+	for _, conn := range old {
+		_ = conn.Close()
+	}
+}
+
+// Usage is how a pool stands at one moment.
+type Usage struct {
+	Open, Idle, Waiting int
+}
+
+// Usage returns how the pool stands.
+func (p *Pool) Usage() Usage {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return Usage{Open: p.open, Idle: len(p.idle), Waiting: p.waiting.len()}
+}
+
+// Close closes idle connections, refuses those who wait and lets running transactions end.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	idle := p.idle
+	p.idle = nil
+	p.open -= len(idle)
+	var refused []*waiter
+	for w := p.waiting.next(time.Now(), nil); w != nil; w = p.waiting.next(time.Now(), nil) {
+		refused = append(refused, w)
+	}
+	p.mu.Unlock()
+	for _, conn := range idle {
+		_ = conn.Close()
+	}
+	for _, w := range refused {
+		w.granted <- grant{err: ErrClosed}
+	}
+}
--- /dev/null
+++ b/entry/internal/relay/error.go
@@ -0,0 +1,54 @@
+package relay
+
+import (
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"lentilwind.dev/entry/internal/outcome"
+)
+
+// DatabaseError is an error that a database reported.
+type DatabaseError struct {
+	State   outcome.State
+	Message string
+}
+
+// Error formats the error.
+func (e *DatabaseError) Error() string { return string(e.State) + ": " + e.Message }
+
+// DecodeError reads the body of an ErrorResponse.
+func DecodeError(body []byte) error {
+	var response pgproto3.ErrorResponse
+	if err := response.Decode(body); err != nil {
+		return err
+	}
+	return &DatabaseError{State: outcome.State(response.Code), Message: response.Message}
+}
+
+// ErrorState returns the SQLSTATE of an ErrorResponse body; empty if there is none.
+func ErrorState(body []byte) outcome.State {
+	for len(body) > 1 {
+		field := body[0]
+		value, rest, err := CutString(body[1:])
+		if err != nil {
+			return ""
+		}
+		if field == 'C' {
+			return outcome.State(value)
+		}
+		body = rest
+	}
+	return ""
+}
+
+// AppendFailure appends the ErrorResponse of a failure.
+func AppendFailure(dst []byte, severity string, f *outcome.Failure) []byte {
+	response := pgproto3.ErrorResponse{
+		Severity: severity, SeverityUnlocalized: severity,
+		Code: string(f.State), Message: f.Message, Hint: f.Hint,
+	}
+	out, err := response.Encode(dst)
+	if err != nil {
+		return dst
+	}
+	return out
+}
--- /dev/null
+++ b/entry/internal/relay/message.go
@@ -0,0 +1,130 @@
+package relay
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+)
+
+// Kind is the type byte of a message.
+type Kind byte
+
+// The kinds of messages from callers.
+const (
+	KindQuery        Kind = 'Q'
+	KindParse        Kind = 'P'
+	KindBind         Kind = 'B'
+	KindDescribe     Kind = 'D'
+	KindExecute      Kind = 'E'
+	KindClose        Kind = 'C'
+	KindSync         Kind = 'S'
+	KindFlush        Kind = 'H'
+	KindTerminate    Kind = 'X'
+	KindFunctionCall Kind = 'F'
+	KindCopyFail     Kind = 'f'
+	KindCopyDone     Kind = 'c'
+	KindCopyData     Kind = 'd'
+)
+
+// The kinds of messages from databases.
+const (
+	KindReady           Kind = 'Z'
+	KindError           Kind = 'E'
+	KindNotice          Kind = 'N'
+	KindNotification    Kind = 'A'
+	KindParameterStatus Kind = 'S'
+	KindCommandComplete Kind = 'C'
+	KindEmptyQuery      Kind = 'I'
+	KindPortalSuspended Kind = 's'
+	KindParseComplete   Kind = '1'
+	KindBindComplete    Kind = '2'
+	KindCloseComplete   Kind = '3'
+	KindNoData          Kind = 'n'
+	KindRowDescription  Kind = 'T'
+	KindParameters      Kind = 't'
+	KindDataRow         Kind = 'D'
+	KindCopyIn          Kind = 'G'
+	KindCopyBoth        Kind = 'W'
+)
+
+// KindEnsure is a Parse whose answer the caller does not see; it exists only inside the system.
+const KindEnsure Kind = 'e'
+
+// HeaderBytes is the length of a message's kind and size.
+const HeaderBytes = 5
+
+const sizeBytes = 4
+
+// ErrMessage is wrapped by every error about a malformed message.
+var ErrMessage = errors.New("relay: malformed message")
+
+// ReadHeader reads the kind of the next message and the length of its body.
+func ReadHeader(r *bufio.Reader) (Kind, int, error) {
+	header, err := r.Peek(HeaderBytes)
+	if err != nil {
+		if len(header) > 0 && errors.Is(err, io.EOF) {
+			err = io.ErrUnexpectedEOF
+		}
+		return 0, 0, err
+	}
+	kind, size := Kind(header[0]), int64(binary.BigEndian.Uint32(header[1:]))
+	if size < sizeBytes {
+		return 0, 0, fmt.Errorf("%w: size %d", ErrMessage, size)
+	}
+	_, _ = r.Discard(HeaderBytes)
+	return kind, int(size - sizeBytes), nil
+}
+
+// AppendHeader appends the kind of a message and the length of its body.
+func AppendHeader(dst []byte, kind Kind, body int) []byte {
+	dst = append(dst, byte(kind))
+	return binary.BigEndian.AppendUint32(dst, uint32(body+sizeBytes))
+}
+
+// AppendBody reads a number of bytes and appends them.
+func AppendBody(dst []byte, r *bufio.Reader, n int) ([]byte, error) {
+	for n > 0 {
+		if r.Buffered() == 0 {
+			if _, err := r.Peek(1); err != nil {
+				return dst, unexpected(err)
+			}
+		}
+		part, _ := r.Peek(min(n, r.Buffered()))
+		dst = append(dst, part...)
+		n -= len(part)
+		_, _ = r.Discard(len(part))
+	}
+	return dst, nil
+}
+
+func unexpected(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// Split cuts the first message off a buffer of whole messages.
+func Split(data []byte) (kind Kind, body, rest []byte, err error) {
+	if len(data) < HeaderBytes {
+		return 0, nil, nil, fmt.Errorf("%w: %d bytes left", ErrMessage, len(data))
+	}
+	size := int64(binary.BigEndian.Uint32(data[1:]))
+	end := 1 + size
+	if size < sizeBytes || end > int64(len(data)) {
+		return 0, nil, nil, fmt.Errorf("%w: size %d with %d bytes left", ErrMessage, size, len(data))
+	}
+	return Kind(data[0]), data[HeaderBytes:end], data[end:], nil
+}
+
+// CutString cuts a string that ends in a zero byte off the front of a body.
+func CutString(body []byte) (text, rest []byte, err error) {
+	for i, b := range body {
+		if b == 0 {
+			return body[:i], body[i+1:], nil
+		}
+	}
+	return nil, nil, fmt.Errorf("%w: a string does not end", ErrMessage)
+}
--- /dev/null
+++ b/entry/internal/relay/request.go
@@ -0,0 +1,275 @@
+package relay
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+)
+
+// Errors of a caller's messages.
+var (
+	ErrTooManyStatements = errors.New("relay: the caller keeps too many prepared statements")
+	ErrUnknownStatement  = errors.New("relay: unknown prepared statement")
+	ErrKeyInside         = errors.New("relay: a message contains the caller's key")
+	ErrReservedName      = errors.New("relay: a message names a reserved parameter")
+	ErrNotSupported      = errors.New("relay: unsupported message")
+)
+
+const reservedName = "lentilwind"
+
+// Request is a batch of a caller's messages, rewritten for a database connection.
+//
+// Names of prepared statements are replaced by internal ones. Before each use of a statement that the batch does not
+// parse itself stands a KindEnsure message. A Close of a statement stays as a mark for its answer and is not sent.
+type Request struct {
+	// Data is the rewritten messages.
+	Data []byte
+	// First is the text of the first statement that is no plain BEGIN, or of the BEGIN when there is no other.
+	First []byte
+	// Simple tells that the request is one simple query.
+	Simple bool
+	// Executes tells that the request runs a statement rather than only preparing it.
+	Executes bool
+	// NeedsDatabase is false when the entry can answer the request alone.
+	NeedsDatabase bool
+	// OnlyBegin tells that the request is one plain BEGIN; First is its text.
+	OnlyBegin bool
+	// Ends tells that the request ends with Query or Sync rather than Flush.
+	Ends bool
+
+	parsed [][]byte
+	begun  bool
+}
+
+// Reset empties the request and keeps its memory.
+func (r *Request) Reset() {
+	*r = Request{Data: r.Data[:0], parsed: r.parsed[:0]}
+}
+
+// Rewriter turns a caller's messages into requests.
+type Rewriter struct {
+	Statements Statements
+	// Key is the caller's key, which no message may contain; empty for callers without one.
+	Key []byte
+}
+
+// Rewrite fills a request from a batch of whole messages.
+func (w *Rewriter) Rewrite(r *Request, batch []byte) error {
+	r.Reset()
+	for len(batch) > 0 {
+		kind, body, rest, err := Split(batch)
+		if err != nil {
+			return err
+		}
+		if err := w.check(kind, body); err != nil {
+			return err
+		}
+		if err := w.message(r, kind, body); err != nil {
+			return err
+		}
+		batch = rest
+	}
+	return nil
+}
+
+// check refuses messages that must not reach a database.
+func (w *Rewriter) check(kind Kind, body []byte) error {
+	if len(w.Key) > 0 && bytes.Contains(body, w.Key) {
+		return ErrKeyInside
+	}
+	switch kind {
+	case KindQuery, KindParse:
+		if containsFold(body, reservedName) {
+			return ErrReservedName
+		}
+	case KindBind, KindCopyData:
+		if containsFold(body, reservedName+".") {
+			return ErrReservedName
+		}
+	}
+	return nil
+}
+
+func (w *Rewriter) message(r *Request, kind Kind, body []byte) error {
+	switch kind {
+	case KindQuery:
+		return r.query(body)
+	case KindParse:
+		return w.parse(r, body)
+	case KindBind:
+		return w.bind(r, body)
+	case KindDescribe:
+		return w.describe(r, body)
+	case KindClose:
+		return w.close(r, body)
+	case KindExecute:
+		r.Executes, r.NeedsDatabase = true, true
+	case KindSync:
+		r.Ends = true
+	case KindFlush:
+	default:
+		return fmt.Errorf("%w: kind %q", ErrNotSupported, byte(kind))
+	}
+	r.append(kind, body)
+	return nil
+}
+
+func (r *Request) append(kind Kind, body []byte) {
+	r.Data = AppendHeader(r.Data, kind, len(body))
+	r.Data = append(r.Data, body...)
+}
+
+func (r *Request) query(body []byte) error {
+	text, _, err := CutString(body)
+	if err != nil {
+		return err
+	}
+	r.Simple, r.Executes, r.NeedsDatabase, r.Ends = true, true, true, true
+	r.First = text
+	r.OnlyBegin = IsBegin(text)
+	r.append(KindQuery, body)
+	return nil
+}
+
+// note remembers the text by which the request finds its route.
+func (r *Request) note(text []byte) {
+	r.NeedsDatabase = true
+	begin := IsBegin(text)
+	switch {
+	case r.First == nil:
+		r.First, r.begun, r.OnlyBegin = text, begin, begin
+	case r.begun && !begin:
+		r.First, r.begun, r.OnlyBegin = text, false, false
+	}
+}
+
+func (w *Rewriter) parse(r *Request, body []byte) error {
+	name, rest, err := CutString(body)
+	if err != nil {
+		return err
+	}
+	statement, err := newStatement(len(name) > 0, rest)
+	if err != nil {
+		return err
+	}
+	if err := w.Statements.set(name, statement); err != nil {
+		return err
+	}
+	r.note(statement.Text())
+	r.parsed = append(r.parsed, statement.internal)
+	r.append(KindParse, statement.parse)
+	return nil
+}
+
+// use finds a statement and makes sure that it is prepared where the request runs.
+func (w *Rewriter) use(r *Request, name []byte) (*Statement, error) {
+	statement := w.Statements.find(name)
+	if statement == nil {
+		return nil, fmt.Errorf("%w: %q", ErrUnknownStatement, name)
+	}
+	r.note(statement.Text())
+	for _, parsed := range r.parsed {
+		if bytes.Equal(parsed, statement.internal) {
+			return statement, nil
+		}
+	}
+	r.parsed = append(r.parsed, statement.internal)
+	r.append(KindEnsure, statement.parse)
+	return statement, nil
+}
+
+func (w *Rewriter) bind(r *Request, body []byte) error {
+	portal, rest, err := CutString(body)
+	if err != nil {
+		return err
+	}
+	name, rest, err := CutString(rest)
+	if err != nil {
+		return err
+	}
+	statement, err := w.use(r, name)
+	if err != nil {
+		return err
+	}
+	r.Data = AppendHeader(r.Data, KindBind, len(portal)+1+len(statement.internal)+1+len(rest))
+	r.Data = append(r.Data, portal...)
+	r.Data = append(r.Data, 0)
+	r.Data = append(r.Data, statement.internal...)
+	r.Data = append(r.Data, 0)
+	r.Data = append(r.Data, rest...)
+	return nil
+}
+
+const (
+	targetStatement = 'S'
+	targetPortal    = 'P'
+)
+
+// target cuts the kind of object and its name out of a Describe or Close body.
+func target(body []byte) (byte, []byte, error) {
+	if len(body) == 0 || (body[0] != targetStatement && body[0] != targetPortal) {
+		return 0, nil, fmt.Errorf("%w: unknown target", ErrMessage)
+	}
+	name, _, err := CutString(body[1:])
+	return body[0], name, err
+}
+
+func (w *Rewriter) describe(r *Request, body []byte) error {
+	of, name, err := target(body)
+	if err != nil {
+		return err
+	}
+	r.NeedsDatabase = true
+	if of == targetPortal {
+		r.append(KindDescribe, body)
+		return nil
+	}
+	statement, err := w.use(r, name)
+	if err != nil {
+		return err
+	}
+	r.Data = AppendHeader(r.Data, KindDescribe, len(statement.internal)+2)
+	r.Data = append(r.Data, targetStatement)
+	r.Data = append(r.Data, statement.internal...)
+	r.Data = append(r.Data, 0)
+	return nil
+}
+
+func (w *Rewriter) close(r *Request, body []byte) error {
+	of, name, err := target(body)
+	if err != nil {
+		return err
+	}
+	if of == targetStatement {
+		w.Statements.remove(name)
+	} else {
+		r.NeedsDatabase = true
+	}
+	r.append(KindClose, body)
+	return nil
+}
+
+// containsFold finds an ASCII word in lower case, whatever the case of the data.
+func containsFold(data []byte, word string) bool {
+	for i := 0; i+len(word) <= len(data); i++ {
+		if data[i]|caseBit == word[0] && equalFold(data[i:i+len(word)], word) {
+			return true
+		}
+	}
+	return false
+}
+
+const caseBit = 0x20
+
+func equalFold(data []byte, word string) bool {
+	for i := range len(word) {
+		b := data[i]
+		if 'A' <= b && b <= 'Z' {
+			b |= caseBit
+		}
+		if b != word[i] {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/lentilwind/protocol/forward.go
@@ -0,0 +1,33 @@
+package protocol
+
+import (
+	"time"
+
+	"lentilwind.dev/lentilwind/group"
+	"lentilwind.dev/lentilwind/inventory"
+)
+
+// Forward is what a transaction needs before its first statement; it opens the stream of a forwarded one.
+//
+// Behind it, the sender writes batches of PostgreSQL messages and the home answers with PostgreSQL messages.
+type Forward struct {
+	Workspace inventory.WorkspaceName `cbor:"1,keyasint"`
+	Group     group.ID                `cbor:"2,keyasint"`
+	Server    group.Server            `cbor:"3,keyasint"`
+	Term      group.Term              `cbor:"4,keyasint"`
+	Access    inventory.Access        `cbor:"5,keyasint"`
+	// Floor is the least state that a read may show.
+	Floor group.Floor `cbor:"6,keyasint"`
+	// MaxStaleness is the greatest age of the server's state; 0 means that the sender checks the age itself.
+	MaxStaleness time.Duration `cbor:"7,keyasint"`
+	// QueueFor bounds the wait for a connection.
+	QueueFor time.Duration `cbor:"8,keyasint"`
+	// AnswerFor bounds the wait for each answer.
+	AnswerFor time.Duration `cbor:"9,keyasint"`
+	// IdleFor bounds the wait for the sender's next batch inside a transaction block.
+	IdleFor  time.Duration      `cbor:"10,keyasint"`
+	Priority inventory.Priority `cbor:"11,keyasint"`
+	Weight   int                `cbor:"12,keyasint"`
+	// Begin is the statement that opens the block; empty for a transaction of one batch.
+	Begin string `cbor:"13,keyasint,omitempty"`
+}
