--- /dev/null
+++ b/entry/internal/positions/keeper.go
@@ -0,0 +1,189 @@
+package positions
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"lentilwind.dev/lentilwind/confirm"
+	"lentilwind.dev/lentilwind/group"
+	"lentilwind.dev/lentilwind/inventory"
+	"lentilwind.dev/lentilwind/route"
+
+	"lentilwind.dev/entry/internal/directory"
+)
+
+// Config is what a keeper needs.
+type Config struct {
+	Directory  *directory.Directory
+	DataCentre inventory.DataCentre
+	Log        *log.Logger
+	// ExpectedWait tells how long a request would wait for a connection to a server; nil stands for no wait.
+	ExpectedWait func(group.Server) time.Duration
+}
+
+// Keeper keeps the samples of every group of the inventory.
+type Keeper struct {
+	cfg    Config
+	origin time.Time
+	groups atomic.Pointer[map[group.ID]*groupState]
+
+	mu       sync.Mutex
+	monitors map[group.Server]*monitor
+}
+
+// New returns a keeper that monitors nothing before Run.
+func New(cfg Config) *Keeper {
+	k := &Keeper{cfg: cfg, origin: time.Now(), monitors: make(map[group.Server]*monitor)}
+	k.groups.Store(&map[group.ID]*groupState{})
+	k.rebuild()
+	return k
+}
+
+// Run monitors the databases of the inventory until the context ends.
+func (k *Keeper) Run(ctx context.Context) error {
+	subscription := k.cfg.Directory.Subscribe()
+	defer subscription.Close()
+	var running sync.WaitGroup
+	defer running.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for {
+		k.rebuild()
+		k.startMonitors(ctx, &running)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-subscription.Changed:
+		}
+	}
+}
+
+// rebuild follows the directory and keeps what is known of groups whose members have not changed.
+func (k *Keeper) rebuild() {
+	snapshot := k.cfg.Directory.Snapshot()
+	old := *k.groups.Load()
+	groups := make(map[group.ID]*groupState)
+	if snapshot.Inventory != nil {
+		for i := range snapshot.Inventory.Services {
+			addGroups(groups, old, &snapshot.Inventory.Services[i])
+		}
+	}
+	k.groups.Store(&groups)
+	for id, g := range groups {
+		g.update(k.newestTerm(id))
+	}
+}
+
+func addGroups(groups, old map[group.ID]*groupState, service *inventory.Service) {
+	servers := make([]group.Server, 0, len(service.Databases))
+	for _, database := range service.Databases {
+		servers = append(servers, database.Name)
+	}
+	for slot := range service.Slots {
+		id := group.ID{Service: service.Name, Slot: group.Slot(slot)}
+		if known := old[id]; known != nil && known.sameMembers(servers) {
+			groups[id] = known
+			continue
+		}
+		groups[id] = newGroupState(id, servers)
+	}
+}
+
+func (g *groupState) sameMembers(servers []group.Server) bool {
+	if len(servers) != len(g.members) {
+		return false
+	}
+	for i, server := range servers {
+		if g.members[i].server != server {
+			return false
+		}
+	}
+	return true
+}
+
+func (k *Keeper) group(id group.ID) *groupState { return (*k.groups.Load())[id] }
+
+func (k *Keeper) newestTerm(id group.ID) group.Term {
+	configuration, _ := k.cfg.Directory.Snapshot().Group(id)
+	return configuration.Term
+}
+
+// Observe takes in a status that came with an answer to something sent at a time.
+func (k *Keeper) Observe(service group.Service, server group.Server, status group.Status, sent time.Time) {
+	g := k.group(group.ID{Service: service, Slot: status.Slot})
+	if g == nil {
+		return
+	}
+	m := g.member(server)
+	if m == nil || !m.offer(status, sent) {
+		return
+	}
+	g.update(k.newestTerm(g.id))
+}
+
+// Status returns a member's newest sample; false while there is none.
+func (k *Keeper) Status(id group.ID, server group.Server) (confirm.Sample, bool) {
+	g := k.group(id)
+	if g == nil {
+		return confirm.Sample{}, false
+	}
+	m := g.member(server)
+	if m == nil {
+		return confirm.Sample{}, false
+	}
+	sample := m.load()
+	return sample, !sample.Start.IsZero()
+}
+
+// Changed returns a channel that is closed when a status of the group changes; nil for an unknown group.
+func (k *Keeper) Changed(id group.ID) <-chan struct{} {
+	g := k.group(id)
+	if g == nil {
+		return nil
+	}
+	return g.changes()
+}
+
+// View fills what is known of a group for a choice and reports whether the group exists; it reuses the view's memory.
+func (k *Keeper) View(id group.ID, view *route.View) bool {
+	g := k.group(id)
+	if g == nil {
+		return false
+	}
+	g.viewed.Store(int64(time.Since(k.origin)))
+	snapshot := k.cfg.Directory.Snapshot()
+	configuration, _ := snapshot.Group(id)
+	view.Term, view.Primary = configuration.Term, configuration.Primary
+	view.Members = view.Members[:0]
+	var inline [maxInline]confirm.Sample
+	samples := inline[:0]
+	for _, m := range g.members {
+		sample := m.load()
+		samples = append(samples, sample)
+		server := snapshot.Server(m.server)
+		if server == nil {
+			continue
+		}
+		view.Members = append(view.Members, route.Member{
+			Server:   m.server,
+			Usable:   server.Live(),
+			Distance: snapshot.Distance(k.cfg.DataCentre, server.DataCentre),
+			Wait:     k.expectedWait(m.server),
+			Risk:     len(server.FailsWith),
+			Sample:   sample,
+		})
+	}
+	view.Current = confirm.Current(samples, view.Term)
+	return true
+}
+
+func (k *Keeper) expectedWait(server group.Server) time.Duration {
+	if k.cfg.ExpectedWait == nil {
+		return 0
+	}
+	return k.cfg.ExpectedWait(server)
+}
--- /dev/null
+++ b/lentilwind/route/index.go
@@ -0,0 +1,45 @@
+package route
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"lentilwind.dev/lentilwind/group"
+	"lentilwind.dev/lentilwind/inventory"
+)
+
+// SlotOf returns the slot of a key; requests without a key belong to slot 0.
+func SlotOf(key string, slots int) group.Slot {
+	if key == "" || slots <= 1 {
+		return 0
+	}
+	return group.Slot(xxhash.Sum64String(key) % uint64(slots))
+}
+
+// Index finds routes by name.
+type Index struct {
+	routes       map[inventory.RouteName]*inventory.Route
+	defaultRoute inventory.Route
+}
+
+// NewIndex returns the index of an inventory's routes.
+func NewIndex(routes []inventory.Route) *Index {
+	index := &Index{routes: make(map[inventory.RouteName]*inventory.Route, len(routes)), defaultRoute: inventory.DefaultRoute()}
+	for _, r := range routes {
+		index.routes[r.Name] = &r
+	}
+	return index
+}
+
+// Lookup returns the rule for a request of a service; false means that the name stands for no route of that service.
+//
+// A request without a name takes the default route. The result is shared and must not be changed.
+func (x *Index) Lookup(service group.Service, name inventory.RouteName) (*inventory.Route, bool) {
+	if name == "" {
+		return &x.defaultRoute, true
+	}
+	found := x.routes[name]
+	if found == nil || found.Service != "" && found.Service != service {
+		return nil, false
+	}
+	return found, true
+}
