Serve callers: startup, keys, placement, exchange and refusals

Cause: the request path needs one loop per caller that admits, places, runs and answers each request.

--- /dev/null
+++ b/entry/internal/caller/run.go
@@ -0,0 +1,152 @@
+package caller
+
+import (
+	"context"
+	"time"
+
+	"lentilwind.dev/entry/internal/executor"
+	"lentilwind.dev/entry/internal/outcome"
+	"lentilwind.dev/entry/internal/relay"
+	"lentilwind.dev/lentilwind/group"
+)
+
+// place runs a request outside of an open block, or the first one of a block.
+func (c *caller) place() bool {
+	var t ticket
+	if failure := c.admit(&t, &c.buffers.request); failure != nil {
+		return c.refuse(failure)
+	}
+	for {
+		alive, failure := c.attempt(&t)
+		if failure == nil {
+			return alive
+		}
+		if !c.mayRetry(&t, failure) {
+			return c.refuse(failure)
+		}
+	}
+}
+
+// mayRetry decides whether a request that failed is tried again, and waits for the right moment.
+//
+// Only what was never sent or did nothing for sure, and reads and repeatable routes, may be sent again.
+func (c *caller) mayRetry(t *ticket, f *outcome.Failure) bool {
+	if time.Now().After(t.deadline) {
+		return false
+	}
+	switch f.Reason {
+	case outcome.ReasonBehind:
+		again := !t.primary
+		t.primary = true
+		return again
+	case outcome.ReasonRefusedBefore:
+	case outcome.ReasonConnect, outcome.ReasonHome:
+		t.tried = group.Configuration{}
+		if !c.pause(t, recheckPeriod) {
+			return false
+		}
+	case outcome.ReasonAnswerLost, outcome.ReasonAnswerTime, outcome.ReasonNotConfirmed:
+		if !t.reads() && !t.rule.Repeatable {
+			return false
+		}
+		t.primary = t.primary || t.reads()
+	default:
+		return false
+	}
+	if t.retried {
+		return true
+	}
+	t.retried = c.server.retries.Retry()
+	c.server.Counters.Retries.Add(1)
+	return t.retried
+}
+
+// attempt runs a request once; a failure means that nothing was relayed.
+func (c *caller) attempt(t *ticket) (alive bool, failure *outcome.Failure) {
+	where, failure := c.choose(t)
+	if failure != nil {
+		return false, failure
+	}
+	if !c.granted(c.server.cfg.Directory.Snapshot()) {
+		return false, outcome.At(outcome.ReasonKeyWithdrawn, nil)
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), t.deadline)
+	tx, err := c.server.cfg.Executor.Open(ctx, &where.opening)
+	cancel()
+	if err != nil {
+		return false, outcome.Of(err)
+	}
+	c.setRunning(tx)
+	x := exchange{caller: c, tx: tx, where: &where, ticket: t, sent: time.Now()}
+	if err := tx.Send(c.buffers.request.Data); err != nil {
+		x.close()
+		return false, outcome.Of(err)
+	}
+	if failure := x.receive(); failure != nil {
+		x.close()
+		return x.cut(failure)
+	}
+	return x.finish()
+}
+
+// block is an open transaction block with its connection.
+type block struct {
+	tx     executor.Transaction
+	ticket ticket
+	where  target
+	wrote  bool
+}
+
+// continueBlock runs a further batch of an open block.
+func (c *caller) continueBlock() bool {
+	b := c.tx
+	if !serves(b.ticket.rule) && !c.server.cfg.Directory.Leased(time.Now()) {
+		return c.refuse(outcome.At(outcome.ReasonNoLease, nil))
+	}
+	c.setRunning(b.tx)
+	x := exchange{caller: c, tx: b.tx, where: &b.where, ticket: &b.ticket, sent: time.Now(), inBlock: true, wrote: b.wrote}
+	if err := b.tx.Send(c.buffers.request.Data); err != nil {
+		return c.blockLost(&x, outcome.Of(err))
+	}
+	if failure := x.receive(); failure != nil {
+		return c.blockLost(&x, failure)
+	}
+	alive, failure := x.finish()
+	if failure == nil {
+		return alive
+	}
+	return c.refuse(failure)
+}
+
+// blockLost answers after the connection of a block was lost.
+//
+// Without a commit in what was sent, the database rolls the block back for sure.
+func (c *caller) blockLost(x *exchange, f *outcome.Failure) bool {
+	x.close()
+	commits := relay.MayCommit(c.buffers.request.Data)
+	if f.State == outcome.Unknown && !commits {
+		f = outcome.At(outcome.ReasonRolledBack, f.Cause)
+	}
+	if x.relayed {
+		alive, _ := x.cut(f)
+		return alive
+	}
+	c.failed = !commits
+	return c.refuse(f)
+}
+
+// abortBlock rolls the open block back; the caller must end it before it can go on.
+func (c *caller) abortBlock() {
+	if c.tx != nil {
+		c.closeBlock()
+	}
+	c.begin = ""
+	c.failed = true
+}
+
+func (c *caller) closeBlock() {
+	tx := c.tx.tx
+	c.tx = nil
+	c.setRunning(nil)
+	tx.Close()
+}
--- a/entry/internal/outcome/table.go
+++ b/entry/internal/outcome/table.go
@@ -25,6 +25,8 @@
 	ReasonAnswerLost     Reason = "answerLost"
 	ReasonAnswerTime     Reason = "answerTime"
 	ReasonNotConfirmed   Reason = "notConfirmed"
+	ReasonAnswerSize     Reason = "answerSize"
+	ReasonCallerGone     Reason = "callerGone"
 	ReasonStopping       Reason = "stopping"
 )
 
@@ -65,6 +67,8 @@
 	{ReasonAnswerLost, Unknown, "outcome unknown: the request was sent and its answer was lost", hintLook},
 	{ReasonAnswerTime, Unknown, "outcome unknown: the request was sent and no answer came in time", hintLook},
 	{ReasonNotConfirmed, Unknown, "outcome unknown: no majority of the group confirmed the write in time", hintLook},
+	{ReasonAnswerSize, Unknown, "outcome unknown: the answer of the write is too large", hintLook},
+	{ReasonCallerGone, Unknown, "outcome unknown: the caller did not take the answer in time", hintLook},
 	{ReasonStopping, AdminShutdown, "not run: the entry is stopping", "Connect again."},
 }
 
--- a/entry/internal/pool/conn.go
+++ b/entry/internal/pool/conn.go
@@ -57,10 +57,12 @@
 
 	processID uint32
 	secretKey []byte
-	out       []byte
 
-	mu        sync.Mutex
-	cancelled bool
+	mu sync.Mutex
+	// cancelling is closed once the cancel request was taken; nil while none was sent.
+	cancelling chan struct{}
+	// cancelledOnce connections are not given to another transaction.
+	cancelledOnce bool
 }
 
 // Dial opens a connection and waits until the database is ready.
@@ -150,18 +152,34 @@
 func (c *Conn) Cancel() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.cancelled || len(c.secretKey) == 0 {
+	if c.cancelling != nil || len(c.secretKey) == 0 {
 		return
 	}
-	c.cancelled = true
-	go sendCancel(c.RemoteAddr().String(), c.processID, c.secretKey)
+	done := make(chan struct{})
+	c.cancelling = done
+	go func() {
+		defer close(done)
+		sendCancel(c.RemoteAddr().String(), c.processID, c.secretKey)
+	}()
+}
+
+// AwaitCancel waits until a cancel request that is under way can no longer hit the next statement.
+func (c *Conn) AwaitCancel() {
+	c.mu.Lock()
+	cancelling := c.cancelling
+	c.cancelling = nil
+	c.cancelledOnce = c.cancelledOnce || cancelling != nil
+	c.mu.Unlock()
+	if cancelling != nil {
+		<-cancelling
+	}
 }
 
 // Cancelled tells whether a cancel request was sent for the connection.
 func (c *Conn) Cancelled() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.cancelled
+	return c.cancelledOnce || c.cancelling != nil
 }
 
 func sendCancel(address string, processID uint32, secretKey []byte) {
--- a/entry/internal/pool/pool.go
+++ b/entry/internal/pool/pool.go
@@ -14,6 +14,9 @@
 // ErrClosed is returned once a pool gives out no more connections.
 var ErrClosed = errors.New("pool: closed")
 
+// ErrRefused is returned when the wait for a connection would be too long.
+var ErrRefused = errors.New("pool: the wait would be too long")
+
 // maxIdleFor is how long a connection stays open without use.
 const maxIdleFor = 5 * time.Minute
 
--- /dev/null
+++ b/entry/internal/pool/set.go
@@ -0,0 +1,73 @@
+package pool
+
+import (
+	"maps"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"lentilwind.dev/lentilwind/group"
+)
+
+// Target is one server to which an entry may open connections.
+type Target struct {
+	Service group.Service
+	Server  group.Server
+	Address netip.AddrPort
+	// Limit is the most connections that this entry opens.
+	Limit int
+}
+
+// Set is the pools of an entry by server; it is read without locks.
+type Set struct {
+	mu    sync.Mutex
+	pools atomic.Pointer[map[group.Server]*Pool]
+}
+
+// NewSet returns an empty set.
+func NewSet() *Set {
+	s := &Set{}
+	s.pools.Store(&map[group.Server]*Pool{})
+	return s
+}
+
+// Pool returns the pool of a server, or nil.
+func (s *Set) Pool(server group.Server) *Pool { return (*s.pools.Load())[server] }
+
+// Configure makes the set hold exactly the targets; pools that are no target any more end with their transactions.
+func (s *Set) Configure(targets []Target) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := *s.pools.Load()
+	left := maps.Clone(old)
+	pools := make(map[group.Server]*Pool, len(targets))
+	for _, target := range targets {
+		p := left[target.Server]
+		delete(left, target.Server)
+		if p == nil {
+			p = NewPool(target.Service, target.Server, target.Address, target.Limit)
+		} else {
+			p.Configure(target.Address, target.Limit)
+		}
+		pools[target.Server] = p
+	}
+	s.pools.Store(&pools)
+	for _, p := range left {
+		p.Close()
+	}
+}
+
+// Each calls a function for each pool.
+func (s *Set) Each(call func(server group.Server, p *Pool)) {
+	for server, p := range *s.pools.Load() {
+		call(server, p)
+	}
+}
+
+// Trim closes connections that were not used for long.
+func (s *Set) Trim(now time.Time) {
+	for _, p := range *s.pools.Load() {
+		p.Trim(now)
+	}
+}
--- a/entry/internal/relay/keyword.go
+++ b/entry/internal/relay/keyword.go
@@ -84,3 +84,13 @@
 func is(word []byte, keyword string) bool {
 	return len(word) == len(keyword) && equalFold(word, keyword)
 }
+
+// MayCommit tells whether messages may contain a statement that commits; in doubt it does.
+func MayCommit(data []byte) bool {
+	for _, word := range [...]string{"commit", "end", "prepare"} {
+		if containsFold(data, word) {
+			return true
+		}
+	}
+	return false
+}
--- a/entry/internal/relay/plan.go
+++ b/entry/internal/relay/plan.go
@@ -41,6 +41,15 @@
 // Begin prepares for the next batch of the same pipeline or transaction.
 func (p *Plan) Begin() { p.steps, p.next = p.steps[:0], 0 }
 
+// SkipFailed takes out what the database skips because of an error in an earlier batch of the same pipeline.
+func (p *Plan) SkipFailed() {
+	if !p.failed || len(p.steps) == 0 {
+		return
+	}
+	p.failed = false
+	p.fail()
+}
+
 // Known appends the answers that no database sends and that are due before the next message.
 func (p *Plan) Known(dst []byte) []byte {
 	for ; p.next < len(p.steps); p.next++ {
