--- /dev/null
+++ b/entry/internal/caller/harness_test.go
@@ -0,0 +1,231 @@
+package caller_test
+
+import (
+	"context"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"lentilwind.dev/bench/database"
+	"lentilwind.dev/entry/internal/caller"
+	"lentilwind.dev/entry/internal/directory"
+	"lentilwind.dev/entry/internal/executor"
+	"lentilwind.dev/entry/internal/pool"
+	"lentilwind.dev/entry/internal/positions"
+	"lentilwind.dev/instance/events"
+	"lentilwind.dev/instance/logs"
+	"lentilwind.dev/lentilwind/group"
+	"lentilwind.dev/lentilwind/hlc"
+	"lentilwind.dev/lentilwind/inventory"
+	"lentilwind.dev/lentilwind/jsonc"
+	"lentilwind.dev/lentilwind/protocol"
+	"lentilwind.dev/lentilwind/session"
+)
+
+const (
+	testService   = "inventario-1"
+	testWorkspace = "florists"
+	testKey       = "lw-0f1e2d3c4b5a69788796a5b4c3d2e1f0"
+	otherKey      = "lw-ffeeddccbbaa99887766554433221100"
+	patience      = 20 * time.Second
+)
+
+// fleet is three databases of one service with a directory that stands in for control.
+type fleet struct {
+	t         *testing.T
+	databases []*database.Server
+	directory *directory.Directory
+	inventory inventory.Inventory
+	revision  inventory.Revision
+	count     uint64
+	secret    []byte
+	limits    caller.Limits
+}
+
+func serverName(i int) group.Server { return group.Server(fmt.Sprintf("db-%d", i)) }
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+func newFleet(t *testing.T, change func(*database.Config)) *fleet {
+	t.Helper()
+	f := &fleet{t: t, directory: directory.New(), secret: []byte("0123456789abcdef0123456789abcdef")}
+	f.limits = caller.Limits{
+		Callers: 1000, RequestBytes: 1 << 20, AnswerBytes: 64 << 10, RequestTimeout: 5 * time.Second, AnswerTimeout: 5 * time.Second,
+		ConfirmTimeout: 5 * time.Second, IdleInTransaction: time.Minute, SlowCaller: 5 * time.Second, StartupTimeout: 5 * time.Second,
+	}
+	peers := make(map[group.Server]string)
+	for i := range 3 {
+		peers[serverName(i)] = freeAddress(t)
+	}
+	for i := range 3 {
+		cfg := database.Config{
+			Service: testService, Server: serverName(i), DataCentre: "raquira", Listen: peers[serverName(i)], Connections: 20,
+			Primaries: []group.Server{serverName(0), serverName(0), serverName(0)}, Peers: peers, Watch: []string{testKey, otherKey},
+		}
+		if change != nil {
+			change(&cfg)
+		}
+		server, err := database.Start(cfg)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = server.Close() })
+		f.databases = append(f.databases, server)
+	}
+	f.inventory = newInventory()
+	f.directory.ExtendLease(time.Now().Add(time.Hour))
+	f.apply()
+	f.publish(1, serverName(0))
+	return f
+}
+
+func keyHash(key string) string {
+	hash := directory.HashKey([]byte(key))
+	return "sha256:" + hex.EncodeToString(hash[:])
+}
+
+func newInventory() inventory.Inventory {
+	inv := inventory.Inventory{
+		Regions:   []inventory.Region{{Name: "andina", DataCentres: []inventory.DataCentre{"raquira"}}},
+		Instances: []inventory.Instance{{Name: "entry-1", DataCentre: "raquira"}},
+		Services:  []inventory.Service{{Name: testService, Slots: 3, Connections: 20}},
+		Workspaces: []inventory.Workspace{
+			{Name: testWorkspace, Rate: 1000, Burst: 1000, Weight: 1, Keys: []inventory.Key{{ID: "a", Hash: keyHash(testKey)}}},
+			{Name: "stallholders", Rate: 1000, Burst: 1000, Weight: 1, Keys: []inventory.Key{{ID: "b", Hash: keyHash(otherKey)}}},
+		},
+		Routes: []inventory.Route{
+			{Name: "lookup", Access: inventory.AccessRead, MaxStaleness: jsonc.Duration(time.Second)},
+			{Name: "exact", Access: inventory.AccessRead},
+			{Name: "order", Access: inventory.AccessWrite, Priority: inventory.PriorityHigh},
+			{Name: "restock", Access: inventory.AccessWrite, Repeatable: true},
+			{Name: "shelf", Access: inventory.AccessRead, MaxStaleness: jsonc.Duration(time.Second), OpenToAll: true},
+		},
+	}
+	for i := range 3 {
+		inv.Services[0].Databases = append(inv.Services[0].Databases, inventory.Database{Name: serverName(i), DataCentre: "raquira"})
+	}
+	return inv
+}
+
+// apply puts the inventory in force.
+func (f *fleet) apply() {
+	current := f.inventory
+	delta := inventory.Diff(0, nil, f.revision+1, &current)
+	f.revision++
+	f.directory.Apply(&delta, nil)
+}
+
+// publish makes a server the primary of every slot.
+func (f *fleet) publish(term group.Term, primary group.Server) {
+	f.count++
+	topology := protocol.Topology{Version: protocol.TopologyVersion{LeaderTerm: 1, Count: f.count}, Full: true}
+	for slot := range group.Slot(3) {
+		topology.Groups = append(topology.Groups, group.Configuration{
+			Group: group.ID{Service: testService, Slot: slot}, Term: term, Primary: primary,
+		})
+	}
+	for i, db := range f.databases {
+		topology.Servers = append(topology.Servers, protocol.ServerState{
+			Service: testService, Server: serverName(i), Address: db.Address(), Health: protocol.HealthLive,
+		})
+	}
+	f.directory.Apply(nil, &topology)
+}
+
+// entry is one entry of the fleet.
+type entry struct {
+	server *caller.Server
+	pools  *pool.Set
+	url    string
+}
+
+func (f *fleet) newEntry() *entry {
+	f.t.Helper()
+	signer, err := session.NewSigner(f.secret)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	recorder, err := events.Open("", "entry-1", &hlc.Clock{})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	keeper := positions.New(positions.Config{Directory: f.directory, DataCentre: "raquira", Log: logs.Discard()})
+	e := &entry{pools: pool.NewSet()}
+	f.configure(e.pools)
+	e.server = caller.NewServer(caller.Config{
+		Directory: f.directory, Positions: keeper, Executor: executor.NewLocal(e.pools), Signer: signer,
+		PlainText: []netip.Prefix{netip.MustParsePrefix("127.0.0.0/8")}, Limits: f.limits, Events: recorder, Log: logs.Discard(),
+	}, listener)
+	e.url = "postgres://%s:%s@" + listener.Addr().String() + "/" + testService + "?sslmode=disable"
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 2)
+	go func() { done <- keeper.Run(ctx) }()
+	go func() { done <- e.server.Serve(ctx) }()
+	f.t.Cleanup(func() {
+		cancel()
+		for range 2 {
+			if err := <-done; err != nil {
+				f.t.Error(err)
+			}
+		}
+		e.pools.Configure(nil)
+	})
+	return e
+}
+
+func (f *fleet) configure(pools *pool.Set) {
+	var targets []pool.Target
+	for i, db := range f.databases {
+		targets = append(targets, pool.Target{
+			Service: testService, Server: serverName(i), Address: netip.MustParseAddrPort(db.Address()), Limit: 4,
+		})
+	}
+	pools.Configure(targets)
+}
+
+// connect opens a connection as pgx does by default.
+func (e *entry) connect(t *testing.T, token string) *pgx.Conn {
+	t.Helper()
+	return e.connectAs(t, testWorkspace, testKey, token)
+}
+
+func (e *entry) connectAs(t *testing.T, workspace, key, token string) *pgx.Conn {
+	t.Helper()
+	cfg, err := pgx.ParseConfig(fmt.Sprintf(e.url, workspace, key))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if token != "" {
+		cfg.RuntimeParams[session.ParameterName] = token
+	}
+	conn, err := pgx.ConnectConfig(testContext(t), cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close(context.Background()) })
+	return conn
+}
+
+func testContext(t *testing.T) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	t.Cleanup(cancel)
+	return ctx
+}
--- /dev/null
+++ b/entry/internal/settings/settings.go
@@ -0,0 +1,186 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"time"
+
+	"lentilwind.dev/instance/identity"
+	"lentilwind.dev/instance/settings"
+	"lentilwind.dev/lentilwind/inventory"
+	"lentilwind.dev/lentilwind/jsonc"
+)
+
+// Settings is the settings file of an entry.
+type Settings struct {
+	Name       inventory.InstanceName `json:"name"`
+	DataCentre inventory.DataCentre   `json:"dataCentre"`
+	Listen     Listen                 `json:"listen"`
+	// Control lists the addresses of the control processes.
+	Control  []string       `json:"control"`
+	Identity identity.Files `json:"identity"`
+	// SessionSecretFile holds the secrets that sign session tokens, one on a line, the newest first.
+	SessionSecretFile string `json:"sessionSecretFile"`
+	// PlainTextNetworks lists the networks whose callers may show keys without TLS.
+	PlainTextNetworks []string `json:"plainTextNetworks"`
+	Limits            Limits   `json:"limits"`
+	Stop              Stop     `json:"stop"`
+	// EventsFile gets the time line; empty writes none.
+	EventsFile string `json:"eventsFile"`
+	LogLevel   string `json:"logLevel"`
+}
+
+// Listen is the addresses of an entry, as IP and port.
+type Listen struct {
+	Callers string `json:"callers"`
+	// Peers is the UDP address for the other processes of the fleet.
+	Peers string `json:"peers"`
+	// HTTP serves the balancer, metrics and announcements.
+	HTTP string `json:"http"`
+}
+
+// Limits bounds what callers may use.
+type Limits struct {
+	Callers           int            `json:"callers"`
+	RequestBytes      int            `json:"requestBytes"`
+	AnswerBytes       int            `json:"answerBytes"`
+	RequestTimeout    jsonc.Duration `json:"requestTimeout"`
+	AnswerTimeout     jsonc.Duration `json:"answerTimeout"`
+	ConfirmTimeout    jsonc.Duration `json:"confirmTimeout"`
+	IdleInTransaction jsonc.Duration `json:"idleInTransaction"`
+	SlowCaller        jsonc.Duration `json:"slowCaller"`
+	StartupTimeout    jsonc.Duration `json:"startupTimeout"`
+}
+
+// Stop is the steps of a graceful stop.
+type Stop struct {
+	// UnreadyFor is the time between the first failing /readyz and the closing of idle callers.
+	UnreadyFor jsonc.Duration `json:"unreadyFor"`
+	// Deadline is the time after which running transactions are given up.
+	Deadline jsonc.Duration `json:"deadline"`
+}
+
+// The values of settings that were left out.
+const (
+	DefaultCallers           = 25_000
+	DefaultRequestBytes      = 16 << 20
+	DefaultAnswerBytes       = 256 << 10
+	DefaultRequestTimeout    = 10 * time.Second
+	DefaultAnswerTimeout     = 30 * time.Second
+	DefaultConfirmTimeout    = 10 * time.Second
+	DefaultIdleInTransaction = time.Minute
+	DefaultSlowCaller        = 10 * time.Second
+	DefaultStartupTimeout    = 10 * time.Second
+	DefaultUnreadyFor        = 2 * time.Second
+	DefaultDeadline          = 30 * time.Second
+	DefaultLogLevel          = "info"
+)
+
+// Read reads a settings file and makes its paths relative to its folder.
+func Read(path string) (*Settings, error) {
+	var s Settings
+	if err := settings.Read(path, &s); err != nil {
+		return nil, err
+	}
+	for _, p := range []*string{&s.Identity.Authority, &s.Identity.Certificate, &s.Identity.Key, &s.SessionSecretFile, &s.EventsFile} {
+		*p = settings.Resolve(path, *p)
+	}
+	return &s, nil
+}
+
+// ApplyDefaults fills what was left out.
+func (s *Settings) ApplyDefaults() {
+	l := &s.Limits
+	setDefault(&l.Callers, DefaultCallers)
+	setDefault(&l.RequestBytes, DefaultRequestBytes)
+	setDefault(&l.AnswerBytes, DefaultAnswerBytes)
+	setDefault(&l.RequestTimeout, jsonc.Duration(DefaultRequestTimeout))
+	setDefault(&l.AnswerTimeout, jsonc.Duration(DefaultAnswerTimeout))
+	setDefault(&l.ConfirmTimeout, jsonc.Duration(DefaultConfirmTimeout))
+	setDefault(&l.IdleInTransaction, jsonc.Duration(DefaultIdleInTransaction))
+	setDefault(&l.SlowCaller, jsonc.Duration(DefaultSlowCaller))
+	setDefault(&l.StartupTimeout, jsonc.Duration(DefaultStartupTimeout))
+	setDefault(&s.Stop.UnreadyFor, jsonc.Duration(DefaultUnreadyFor))
+	setDefault(&s.Stop.Deadline, jsonc.Duration(DefaultDeadline))
+	setDefault(&s.LogLevel, DefaultLogLevel)
+}
+
+func setDefault[T comparable](target *T, value T) {
+	var zero T
+	if *target == zero {
+		*target = value
+	}
+}
+
+// Check returns every problem.
+func (s *Settings) Check() []jsonc.Problem {
+	problems := slices.Concat(
+		settings.CheckPresent("/name", string(s.Name), "write the instance's name in the inventory"),
+		settings.CheckPresent("/dataCentre", string(s.DataCentre), "write the data centre's name in the inventory"),
+		settings.CheckAddress("/listen/callers", s.Listen.Callers),
+		settings.CheckAddress("/listen/peers", s.Listen.Peers),
+		settings.CheckAddress("/listen/http", s.Listen.HTTP),
+		settings.CheckPresent("/identity/authority", s.Identity.Authority, "name the fleet's certificate"),
+		settings.CheckPresent("/identity/certificate", s.Identity.Certificate, "name the instance's certificate"),
+		settings.CheckPresent("/identity/key", s.Identity.Key, "name the instance's private key"),
+		settings.CheckPresent("/sessionSecretFile", s.SessionSecretFile, "name the file with the fleet's session secret"),
+	)
+	if len(s.Control) == 0 {
+		problems = append(problems, jsonc.Problem{
+			Pointer: "/control", Message: "no control process is listed", Remedy: "list the address of each one",
+		})
+	}
+	for i, address := range s.Control {
+		problems = append(problems, settings.CheckAddress(fmt.Sprintf("/control/%d", i), address)...)
+	}
+	for i, network := range s.PlainTextNetworks {
+		problems = append(problems, checkNetwork(fmt.Sprintf("/plainTextNetworks/%d", i), network)...)
+	}
+	return append(problems, s.checkLimits()...)
+}
+
+func checkNetwork(pointer, value string) []jsonc.Problem {
+	if _, err := netip.ParsePrefix(value); err == nil {
+		return nil
+	}
+	return []jsonc.Problem{{
+		Pointer: pointer, Message: fmt.Sprintf("%q is no network", value), Remedy: `write for example "127.0.0.0/8"`,
+	}}
+}
+
+func (s *Settings) checkLimits() []jsonc.Problem {
+	var problems []jsonc.Problem
+	for _, limit := range []struct {
+		pointer string
+		value   int64
+	}{
+		{"/limits/callers", int64(s.Limits.Callers)},
+		{"/limits/requestBytes", int64(s.Limits.RequestBytes)},
+		{"/limits/answerBytes", int64(s.Limits.AnswerBytes)},
+		{"/limits/requestTimeout", int64(s.Limits.RequestTimeout)},
+		{"/limits/answerTimeout", int64(s.Limits.AnswerTimeout)},
+		{"/limits/confirmTimeout", int64(s.Limits.ConfirmTimeout)},
+		{"/limits/idleInTransaction", int64(s.Limits.IdleInTransaction)},
+		{"/limits/slowCaller", int64(s.Limits.SlowCaller)},
+		{"/limits/startupTimeout", int64(s.Limits.StartupTimeout)},
+		{"/stop/unreadyFor", int64(s.Stop.UnreadyFor)},
+		{"/stop/deadline", int64(s.Stop.Deadline)},
+	} {
+		if limit.value < 0 {
+			problems = append(problems, jsonc.Problem{
+				Pointer: limit.pointer, Message: "the limit is negative", Remedy: "remove it for the default, or write a positive value",
+			})
+		}
+	}
+	return problems
+}
+
+// Prefixes returns the plain-text networks.
+func (s *Settings) Prefixes() []netip.Prefix {
+	prefixes := make([]netip.Prefix, 0, len(s.PlainTextNetworks))
+	for _, network := range s.PlainTextNetworks {
+		prefixes = append(prefixes, netip.MustParsePrefix(network).Masked())
+	}
+	return prefixes
+}
