Stand-in database with replication, failover and a record

The other programs need a backend server to be tested against. `lentil-bench database` and the package bench/database speak the PostgreSQL protocol (simple and extended), keep a fixed set of SQL over three tables apart by workspace and slot, and follow docs/DATABASE.md: scope, positions, monitoring, fence, promote, follow, announcements.

State is a write-ahead log with group commit; replicas cut off what their primary does not have by comparing terms and positions. What arrives is recorded: statements, commits with their changes, and the raw bytes.

--- /dev/null
+++ b/bench/database/session.go
@@ -0,0 +1,252 @@
+package database
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"sync"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"lentilwind.dev/bench/history"
+	"lentilwind.dev/bench/internal/member"
+	"lentilwind.dev/bench/internal/statement"
+	"lentilwind.dev/lentilwind/group"
+	"lentilwind.dev/lentilwind/inventory"
+)
+
+// session is one connection of a caller or a monitor.
+type session struct {
+	run     *run
+	conn    *conn
+	id      uint64
+	backend *pgproto3.Backend
+	process uint32
+	secret  []byte
+	monitor bool
+
+	scope    map[string]string
+	prepared map[string]*prepared
+	portals  map[string]*portal
+	// transaction is the open one; block tells whether BEGIN opened it.
+	transaction *member.Transaction
+	block       bool
+	readOnly    bool
+	failed      bool
+	// skip ignores messages up to the next Sync after an error.
+	skip bool
+
+	mu      sync.Mutex
+	running context.CancelFunc
+}
+
+func newSession(r *run, c *conn, id uint64, backend *pgproto3.Backend, monitor bool) *session {
+	return &session{
+		run: r, conn: c, id: id, backend: backend, monitor: monitor,
+		process: randomProcess(), secret: randomBytes(secretBytes),
+		scope: make(map[string]string), prepared: make(map[string]*prepared), portals: make(map[string]*portal),
+	}
+}
+
+func (s *session) serve() {
+	defer s.rollback()
+	for {
+		message, err := s.backend.Receive()
+		if err != nil {
+			return
+		}
+		if _, done := message.(*pgproto3.Terminate); done {
+			return
+		}
+		if err := s.handle(message); err != nil {
+			return
+		}
+	}
+}
+
+func (s *session) handle(message pgproto3.FrontendMessage) error {
+	switch m := message.(type) {
+	case *pgproto3.Query:
+		s.query(m.String)
+		return s.backend.Flush()
+	case *pgproto3.Sync:
+		return s.sync()
+	case *pgproto3.Flush:
+		return s.backend.Flush()
+	}
+	if s.skip {
+		return nil
+	}
+	if err := s.extended(message); err != nil {
+		s.fail(err)
+		s.skip = true
+	}
+	return nil
+}
+
+// query runs the statements of a simple query as one transaction.
+func (s *session) query(text string) {
+	statements, err := statement.Parse(text)
+	if err != nil {
+		s.refused(text, nil, err)
+		s.fail(err)
+		s.finish()
+		return
+	}
+	if len(statements) == 0 {
+		s.backend.Send(&pgproto3.EmptyQueryResponse{})
+	}
+	for i, st := range statements {
+		result, err := s.simple(st, i == len(statements)-1)
+		if err != nil {
+			s.fail(err)
+			break
+		}
+		s.sendResult(st, result)
+	}
+	s.finish()
+}
+
+// simple runs one statement of a simple query; the last one commits unless BEGIN opened the transaction.
+func (s *session) simple(st *statement.Statement, last bool) (*result, error) {
+	if len(st.Parameters) > 0 {
+		err := &statement.Error{Code: "42P02", Message: "there is no parameter $1"}
+		s.refused(st.Text, nil, err)
+		return nil, err
+	}
+	result, err := s.execute(st, nil)
+	if err != nil || !last || s.block {
+		return result, err
+	}
+	return result, s.commit()
+}
+
+func (s *session) sendResult(st *statement.Statement, result *result) {
+	if st.HasRows() {
+		s.backend.Send(rowDescription(st.Columns, nil))
+		for _, row := range result.rows {
+			s.backend.Send(dataRow(row, nil))
+		}
+	}
+	s.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte(result.tag)})
+}
+
+func (s *session) sync() error {
+	s.skip = false
+	s.finish()
+	return s.backend.Flush()
+}
+
+// finish ends a transaction that no BEGIN opened, and reports the position and the state.
+func (s *session) finish() {
+	if !s.block {
+		if err := s.commit(); err != nil {
+			s.sendError(err)
+		}
+		s.portals = make(map[string]*portal)
+		s.sendPosition()
+	}
+	s.ready()
+}
+
+func (s *session) ready() {
+	status := byte('I')
+	if s.block {
+		status = 'T'
+	}
+	if s.failed {
+		status = 'E'
+	}
+	s.backend.Send(&pgproto3.ReadyForQuery{TxStatus: status})
+	_ = s.backend.Flush()
+}
+
+func (s *session) sendPosition() {
+	m, err := s.member()
+	if err != nil {
+		return
+	}
+	s.backend.Send(&pgproto3.ParameterStatus{Name: "lentilwind.position", Value: m.Status().String()})
+}
+
+// fail reports an error and spoils the open transaction.
+func (s *session) fail(err error) {
+	s.sendError(err)
+	if s.block {
+		s.failed = true
+		return
+	}
+	s.rollback()
+}
+
+func (s *session) sendError(err error) {
+	code, message := describe(err)
+	s.backend.Send(&pgproto3.ErrorResponse{Severity: "ERROR", SeverityUnlocalized: "ERROR", Code: code, Message: message})
+}
+
+func describe(err error) (code, message string) {
+	var refused *statement.Error
+	if errors.As(err, &refused) {
+		return refused.Code, refused.Message
+	}
+	var state *member.Error
+	if errors.As(err, &state) {
+		return state.Code, state.Message
+	}
+	return "XX000", err.Error()
+}
+
+// The settings that make up the scope of a transaction.
+const (
+	settingWorkspace = "lentilwind.workspace"
+	settingSlot      = "lentilwind.slot"
+	settingTerm      = "lentilwind.term"
+	settingAccess    = "lentilwind.access"
+)
+
+func (s *session) member() (*member.Member, error) {
+	slot, err := strconv.ParseUint(s.scope[settingSlot], 10, 16)
+	if err != nil || int(slot) >= len(s.run.members) {
+		return nil, &statement.Error{Code: "55000", Message: "the connection has no scope"}
+	}
+	return s.run.members[slot], nil
+}
+
+func (s *session) term() group.Term {
+	term, _ := strconv.ParseUint(s.scope[settingTerm], 10, 64)
+	return group.Term(term)
+}
+
+func (s *session) writes() bool { return s.scope[settingAccess] == string(inventory.AccessWrite) }
+
+// observe fills in what the connection and its scope say of an observation.
+func (s *session) observe(o history.Database) {
+	cfg := &s.run.server.cfg
+	o.Service, o.Server, o.Connection = cfg.Service, cfg.Server, s.id
+	o.Workspace, o.Access, o.Term = s.scope[settingWorkspace], s.scope[settingAccess], s.term()
+	slot, _ := strconv.ParseUint(s.scope[settingSlot], 10, 16)
+	o.Slot = group.Slot(slot)
+	if s.transaction != nil {
+		o.Transaction = s.transaction.Name()
+	}
+	s.run.server.record.add(o)
+}
+
+func (s *session) refused(text string, arguments []string, err error) {
+	code, _ := describe(err)
+	s.observe(history.Database{Kind: history.DatabaseRefused, Statement: text, Arguments: arguments, Code: code})
+}
+
+func (s *session) cancelRunning() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.running != nil {
+		s.running()
+	}
+}
+
+func (s *session) setRunning(cancel context.CancelFunc) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running = cancel
+}
--- /dev/null
+++ b/bench/history/database.go
@@ -0,0 +1,55 @@
+package history
+
+import (
+	"time"
+
+	"lentilwind.dev/lentilwind/group"
+)
+
+// DatabaseKind names what a database observed.
+type DatabaseKind string
+
+// The kinds of observations.
+const (
+	DatabaseStarted    DatabaseKind = "started"
+	DatabaseConnected  DatabaseKind = "connected"
+	DatabaseStatement  DatabaseKind = "statement"
+	DatabaseRefused    DatabaseKind = "refused"
+	DatabaseCommitted  DatabaseKind = "committed"
+	DatabaseRolledBack DatabaseKind = "rolledBack"
+	// DatabaseFound tells that a watched text stood in the bytes received.
+	DatabaseFound DatabaseKind = "found"
+)
+
+// Change is one row that a transaction changed.
+type Change struct {
+	Table  string `json:"table"`
+	ID     string `json:"id,omitempty"`
+	Key    string `json:"key,omitempty"`
+	Value  int64  `json:"value,omitempty"`
+	Delete bool   `json:"delete,omitempty"`
+}
+
+// Database is one observation of a database.
+type Database struct {
+	Time       time.Time     `json:"time"`
+	Service    group.Service `json:"service"`
+	Server     group.Server  `json:"server"`
+	Kind       DatabaseKind  `json:"kind"`
+	Connection uint64        `json:"connection,omitempty"`
+	User       string        `json:"user,omitempty"`
+	// Parameters are those of the startup message.
+	Parameters map[string]string `json:"parameters,omitempty"`
+	Statement  string            `json:"statement,omitempty"`
+	Arguments  []string          `json:"arguments,omitempty"`
+	Workspace  string            `json:"workspace,omitempty"`
+	Slot       group.Slot        `json:"slot"`
+	Term       group.Term        `json:"term,omitempty"`
+	Access     string            `json:"access,omitempty"`
+	// Transaction is unique over servers and restarts.
+	Transaction string         `json:"transaction,omitempty"`
+	Position    group.Position `json:"position,omitempty"`
+	Changes     []Change       `json:"changes,omitempty"`
+	Code        string         `json:"code,omitempty"`
+	Text        string         `json:"text,omitempty"`
+}
--- /dev/null
+++ b/bench/internal/command/doc.go
@@ -0,0 +1,2 @@
+// Package command has the subcommands of lentil-bench.
+package command
--- /dev/null
+++ b/bench/internal/member/replication.go
@@ -0,0 +1,168 @@
+package member
+
+import (
+	"time"
+
+	"lentilwind.dev/lentilwind/group"
+)
+
+// Epoch is a run of records of one term.
+type Epoch struct {
+	Term group.Term     `cbor:"1,keyasint"`
+	Last group.Position `cbor:"2,keyasint"`
+}
+
+// Hello is what a replica says of its log to the primary that it follows.
+type Hello struct {
+	Slot   group.Slot `cbor:"1,keyasint"`
+	Term   group.Term `cbor:"2,keyasint"`
+	Epochs []Epoch    `cbor:"3,keyasint"`
+}
+
+// Welcome answers a Hello.
+type Welcome struct {
+	// Common is the last position up to which both logs are the same.
+	Common group.Position `cbor:"1,keyasint"`
+	// Began is the position at which the primary's term began.
+	Began group.Position `cbor:"2,keyasint"`
+}
+
+// Batch carries records from a primary to a replica.
+type Batch struct {
+	Records []Record `cbor:"1,keyasint,omitempty"`
+	// End is the last position that the primary has.
+	End group.Position `cbor:"2,keyasint"`
+	// Probe repeats the number of the newest probe answered here; 0 when there is none.
+	Probe uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+func epochs(log []logged) []Epoch {
+	var list []Epoch
+	for _, r := range log {
+		if n := len(list); n > 0 && list[n-1].Term == r.Term {
+			list[n-1].Last = r.Position
+			continue
+		}
+		list = append(list, Epoch{Term: r.Term, Last: r.Position})
+	}
+	return list
+}
+
+// Hello returns the greeting to the primary that the member follows.
+func (m *Member) Hello() (Target, Hello) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.target, Hello{Slot: m.slot, Term: m.target.Term, Epochs: epochs(m.log)}
+}
+
+// Following returns the primary that the member follows and a channel that is closed at the next change.
+func (m *Member) Following() (Target, <-chan struct{}) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.target, m.changed
+}
+
+// Welcome finds where a replica's log leaves the primary's.
+func (m *Member) Welcome(hello Hello) (Welcome, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	if err := m.checkWrite(hello.Term); err != nil {
+		return Welcome{}, err
+	}
+	own := epochs(m.log[:m.received])
+	return Welcome{Common: common(own, hello.Epochs), Began: m.began}, nil
+}
+
+// common returns the last position at which both logs hold a record of the same term; up to there they are the same.
+func common(a, b []Epoch) group.Position {
+	for i := len(a) - 1; i >= 0; i-- {
+		for j := len(b) - 1; j >= 0; j-- {
+			if a[i].Term == b[j].Term {
+				return min(a[i].Last, b[j].Last)
+			}
+		}
+	}
+	return 0
+}
+
+const batchRecords = 256
+
+// Next returns the records behind a position for a replica in a term, and a channel that is closed at the next change.
+func (m *Member) Next(term group.Term, after group.Position) (Batch, <-chan struct{}, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	if err := m.checkWrite(term); err != nil {
+		return Batch{}, nil, err
+	}
+	batch := Batch{End: m.received}
+	for p := after; p < m.received && len(batch.Records) < batchRecords; p++ {
+		batch.Records = append(batch.Records, m.log[p].Record)
+	}
+	return batch, m.changed, nil
+}
+
+// checkSource refuses what does not come from the primary that the member was last told to follow.
+func (m *Member) checkSource(source Target) error {
+	if m.target != source || source.Term < m.fenced {
+		return wrongState("slot %d: no longer follows term %d", m.slot, source.Term)
+	}
+	return nil
+}
+
+// Join cuts off what the primary does not have and begins to follow it.
+func (m *Member) Join(source Target, welcome Welcome) error {
+	m.mu.Lock()
+	if err := m.checkSource(source); err != nil {
+		m.mu.Unlock()
+		return err
+	}
+	m.probes = nil
+	if int(welcome.Common) < len(m.log) {
+		m.truncate(welcome.Common)
+	}
+	m.joining, m.joinAt = source.Term, welcome.Began
+	m.mu.Unlock()
+	m.advance()
+	return nil
+}
+
+func (m *Member) truncate(position group.Position) {
+	m.append(entry{Kind: entryTruncate, Position: position})
+	m.log = m.log[:position:position]
+	m.received = min(m.received, position)
+	if m.applied <= position {
+		return
+	}
+	m.rows, m.applied = newStore(), 0
+	for _, r := range m.log {
+		m.rows.apply(r.Operations)
+		m.applied++
+	}
+}
+
+// Receive appends records of the followed primary; due is when they may become visible.
+func (m *Member) Receive(source Target, batch Batch, sent, due time.Time) error {
+	m.mu.Lock()
+	if err := m.checkSource(source); err != nil {
+		m.mu.Unlock()
+		return err
+	}
+	var end walOffset
+	for _, r := range batch.Records {
+		if int(r.Position) != len(m.log)+1 {
+			m.mu.Unlock()
+			return wrongState("slot %d: record %d does not follow %d", m.slot, r.Position, len(m.log))
+		}
+		end = m.append(entry{Kind: entryRecord, Record: &r})
+		m.log = append(m.log, logged{Record: r, offset: end, due: due})
+	}
+	if !sent.IsZero() {
+		m.probes = append(m.probes, probe{sent: sent, end: batch.End})
+	}
+	m.mu.Unlock()
+	if err := m.wal.Sync(end); err != nil {
+		return err
+	}
+	m.advance()
+	return nil
+}
--- /dev/null
+++ b/bench/internal/statement/rows.go
@@ -0,0 +1,460 @@
+package statement
+
+import (
+	"fmt"
+	"slices"
+)
+
+func (p *parser) selectStatement() error {
+	if tok := p.peek(); tok.kind == tokenNumber || tok.kind == tokenString || tok.kind == tokenParameter {
+		return p.constant()
+	}
+	if p.call("pg_sleep") {
+		return p.sleep()
+	}
+	if p.function() {
+		return p.monitor()
+	}
+	if p.peek().text == "*" && p.at+2 < len(p.tokens) && p.tokens[p.at+1].text == "from" {
+		p.at += 2
+		if p.function() {
+			return p.monitor()
+		}
+		p.at -= 2
+	}
+	return p.selectRows()
+}
+
+// constant reads SELECT 1 and its like.
+func (p *parser) constant() error {
+	p.s.Kind = KindConstant
+	want := TypeInt8
+	if p.peek().kind != tokenNumber {
+		want = TypeText
+	}
+	operand, err := p.operand(want)
+	p.s.Arguments = []Operand{operand}
+	p.s.Columns = []Column{{Name: "?column?", Type: want}}
+	return err
+}
+
+// call takes a function's name when its opening parenthesis follows.
+func (p *parser) call(name string) bool {
+	if p.at+1 >= len(p.tokens) || p.tokens[p.at+1].text != "(" {
+		return false
+	}
+	return p.word(name)
+}
+
+func (p *parser) sleep() error {
+	p.s.Kind = KindSleep
+	p.s.Columns = []Column{{Name: "pg_sleep", Type: TypeText}}
+	return p.arguments(TypeFloat8)
+}
+
+var statusColumns = []Column{
+	{Name: "slot", Type: TypeInt8},
+	{Name: "role", Type: TypeText},
+	{Name: "term", Type: TypeInt8},
+	{Name: "fenced", Type: TypeInt8},
+	{Name: "received", Type: TypeInt8},
+	{Name: "applied", Type: TypeInt8},
+	{Name: "ageMs", Type: TypeInt8},
+}
+
+var functions = []struct {
+	name      string
+	kind      Kind
+	arguments []Type
+}{
+	{"lentilwind_status", KindStatus, nil},
+	{"lentilwind_wait", KindWait, []Type{TypeInt8, TypeInt8, TypeInt8}},
+	{"lentilwind_fence", KindFence, []Type{TypeInt8, TypeInt8}},
+	{"lentilwind_promote", KindPromote, []Type{TypeInt8, TypeInt8, TypeInt8}},
+	{"lentilwind_follow", KindFollow, []Type{TypeInt8, TypeInt8, TypeText}},
+}
+
+// function takes the name of a monitoring function.
+func (p *parser) function() bool {
+	for _, f := range functions {
+		if p.call(f.name) {
+			p.s.Kind = f.kind
+			return true
+		}
+	}
+	return false
+}
+
+func (p *parser) monitor() error {
+	p.s.Columns = statusColumns
+	for _, f := range functions {
+		if f.kind == p.s.Kind {
+			return p.arguments(f.arguments...)
+		}
+	}
+	return p.unexpected()
+}
+
+func (p *parser) arguments(types ...Type) error {
+	if err := p.expectSymbol("("); err != nil {
+		return err
+	}
+	for i, t := range types {
+		if i > 0 {
+			if err := p.expectSymbol(","); err != nil {
+				return err
+			}
+		}
+		operand, err := p.operand(t)
+		if err != nil {
+			return err
+		}
+		p.s.Arguments = append(p.s.Arguments, operand)
+	}
+	return p.expectSymbol(")")
+}
+
+func (p *parser) selectRows() error {
+	p.s.Kind = KindSelect
+	if err := p.findTable(); err != nil {
+		return err
+	}
+	if err := p.items(); err != nil {
+		return err
+	}
+	if err := p.expectWord("from"); err != nil {
+		return err
+	}
+	if err := p.table(); err != nil {
+		return err
+	}
+	if err := p.where(); err != nil {
+		return err
+	}
+	return p.tail()
+}
+
+// findTable reads the table ahead, since the result expressions need its columns.
+func (p *parser) findTable() error {
+	start := p.at
+	defer func() { p.at = start }()
+	for !p.atEnd() {
+		if p.word("from") {
+			return p.table()
+		}
+		p.at++
+	}
+	return unsupported("the stand-in database does not support this expression")
+}
+
+func (p *parser) items() error {
+	if p.symbol("*") {
+		for _, c := range p.s.Table.Columns {
+			p.addItem(Item{Column: c}, c, columnType(c))
+		}
+		return nil
+	}
+	for {
+		if err := p.item(); err != nil {
+			return err
+		}
+		if !p.symbol(",") {
+			return p.checkItems()
+		}
+	}
+}
+
+func (p *parser) item() error {
+	if p.call("count") {
+		p.addItem(Item{Aggregate: "count"}, "count", TypeInt8)
+		p.symbol("(")
+		if err := p.expectSymbol("*"); err != nil {
+			return err
+		}
+		return p.expectSymbol(")")
+	}
+	if p.call("sum") {
+		p.addItem(Item{Aggregate: "sum", Column: "value"}, "sum", TypeInt8)
+		p.symbol("(")
+		if err := p.expectWord("value"); err != nil {
+			return err
+		}
+		return p.expectSymbol(")")
+	}
+	column, err := p.column()
+	if err != nil {
+		return err
+	}
+	p.addItem(Item{Column: column}, column, columnType(column))
+	return nil
+}
+
+func (p *parser) addItem(item Item, name string, t Type) {
+	p.s.Items = append(p.s.Items, item)
+	p.s.Columns = append(p.s.Columns, Column{Name: name, Type: t})
+}
+
+func (p *parser) checkItems() error {
+	aggregates := 0
+	for _, item := range p.s.Items {
+		if item.Aggregate != "" {
+			aggregates++
+		}
+	}
+	if aggregates > 0 && aggregates < len(p.s.Items) {
+		return &Error{Code: "42803", Message: "columns beside aggregates are not supported"}
+	}
+	return nil
+}
+
+func (p *parser) where() error {
+	if !p.word("where") {
+		return nil
+	}
+	for {
+		condition, err := p.condition()
+		if err != nil {
+			return err
+		}
+		p.s.Where = append(p.s.Where, condition)
+		if !p.word("and") {
+			return nil
+		}
+	}
+}
+
+func (p *parser) condition() (Condition, error) {
+	column, err := p.column()
+	if err != nil {
+		return Condition{}, err
+	}
+	tok := p.next()
+	if tok.kind != tokenSymbol || !slices.Contains([]string{"=", ">=", "<=", ">", "<", "<>", "!="}, tok.text) {
+		p.at--
+		return Condition{}, p.unexpected()
+	}
+	operand, err := p.operand(columnType(column))
+	return Condition{Column: column, Operator: tok.text, Operand: operand}, err
+}
+
+func (p *parser) tail() error {
+	if p.word("order", "by") {
+		column, err := p.column()
+		if err != nil {
+			return err
+		}
+		p.s.Order = column
+		p.s.Descending = p.word("desc")
+		if !p.s.Descending {
+			p.word("asc")
+		}
+	}
+	if p.word("limit") {
+		tok := p.next()
+		limit, err := literal(tok.text, TypeInt8)
+		if tok.kind != tokenNumber || err != nil {
+			return unsupported("LIMIT needs a number")
+		}
+		p.s.Limit = limit.Literal.Int
+	}
+	p.s.Lock = p.word("for", "update")
+	return nil
+}
+
+func (p *parser) returning() error {
+	if !p.word("returning") {
+		return nil
+	}
+	if err := p.items(); err != nil {
+		return err
+	}
+	for _, item := range p.s.Items {
+		if item.Aggregate != "" {
+			return &Error{Code: "42803", Message: "aggregate functions are not allowed in RETURNING"}
+		}
+	}
+	return nil
+}
+
+func (p *parser) insert() error {
+	p.s.Kind = KindInsert
+	if err := p.expectWord("into"); err != nil {
+		return err
+	}
+	if err := p.table(); err != nil {
+		return err
+	}
+	if err := p.insertColumns(); err != nil {
+		return err
+	}
+	if err := p.expectWord("values"); err != nil {
+		return err
+	}
+	for {
+		if err := p.insertRow(); err != nil {
+			return err
+		}
+		if !p.symbol(",") {
+			break
+		}
+	}
+	if err := p.conflict(); err != nil {
+		return err
+	}
+	return p.returning()
+}
+
+func (p *parser) insertColumns() error {
+	if err := p.expectSymbol("("); err != nil {
+		return err
+	}
+	for {
+		column, err := p.column()
+		if err != nil {
+			return err
+		}
+		if column == workspaceColumn {
+			return &Error{Code: "42501", Message: "the workspace of a row cannot be written"}
+		}
+		if slices.Contains(p.s.Insert, column) {
+			return &Error{Code: "42701", Message: fmt.Sprintf("column %q specified more than once", column)}
+		}
+		p.s.Insert = append(p.s.Insert, column)
+		if !p.symbol(",") {
+			break
+		}
+	}
+	if len(p.s.Insert) != len(p.s.Table.Columns) {
+		return &Error{Code: "23502", Message: "an insert must give every column"}
+	}
+	return p.expectSymbol(")")
+}
+
+func (p *parser) insertRow() error {
+	if err := p.expectSymbol("("); err != nil {
+		return err
+	}
+	var row []Operand
+	for i, column := range p.s.Insert {
+		if i > 0 {
+			if err := p.expectSymbol(","); err != nil {
+				return err
+			}
+		}
+		operand, err := p.operand(columnType(column))
+		if err != nil {
+			return err
+		}
+		row = append(row, operand)
+	}
+	p.s.Rows = append(p.s.Rows, row)
+	return p.expectSymbol(")")
+}
+
+func (p *parser) conflict() error {
+	if !p.word("on", "conflict") {
+		return nil
+	}
+	identity := p.s.Table.Identity
+	if p.symbol("(") {
+		column, err := p.column()
+		if err != nil {
+			return err
+		}
+		if identity == "" || column != identity {
+			return &Error{Code: "42P10", Message: "there is no unique constraint matching the ON CONFLICT specification"}
+		}
+		if err := p.expectSymbol(")"); err != nil {
+			return err
+		}
+	}
+	switch {
+	case p.word("do", "nothing"):
+		p.s.Conflict = ConflictNothing
+		return nil
+	case p.word("do", "update", "set"):
+		p.s.Conflict = ConflictUpdate
+		return p.assignment()
+	}
+	return p.unexpected()
+}
+
+func (p *parser) update() error {
+	p.s.Kind = KindUpdate
+	if err := p.table(); err != nil {
+		return err
+	}
+	if p.s.Table.Name != "stock" {
+		return unsupported("only stock can be updated")
+	}
+	if err := p.expectWord("set"); err != nil {
+		return err
+	}
+	if err := p.assignment(); err != nil {
+		return err
+	}
+	if err := p.where(); err != nil {
+		return err
+	}
+	return p.returning()
+}
+
+// assignment reads value = a sum of the value, literals and parameters.
+func (p *parser) assignment() error {
+	if err := p.expectWord("value"); err != nil {
+		return err
+	}
+	if err := p.expectSymbol("="); err != nil {
+		return err
+	}
+	negative := false
+	for {
+		operand, err := p.summand()
+		if err != nil {
+			return err
+		}
+		p.s.Set = append(p.s.Set, Term{Operand: operand, Negative: negative})
+		switch {
+		case p.symbol("+"):
+			negative = false
+		case p.symbol("-"):
+			negative = true
+		default:
+			return nil
+		}
+	}
+}
+
+func (p *parser) summand() (Operand, error) {
+	if p.peek().kind != tokenWord {
+		return p.operand(TypeInt8)
+	}
+	if p.s.Conflict == ConflictUpdate && p.word("excluded") {
+		if err := p.expectSymbol("."); err != nil {
+			return Operand{}, err
+		}
+		return Operand{Column: ExcludedColumn}, p.expectWord("value")
+	}
+	column, err := p.column()
+	if err != nil {
+		return Operand{}, err
+	}
+	if column != "value" {
+		return Operand{}, &Error{Code: "42804", Message: fmt.Sprintf("column %q is no number", column)}
+	}
+	return Operand{Column: column}, nil
+}
+
+func (p *parser) delete() error {
+	p.s.Kind = KindDelete
+	if err := p.expectWord("from"); err != nil {
+		return err
+	}
+	if err := p.table(); err != nil {
+		return err
+	}
+	if err := p.where(); err != nil {
+		return err
+	}
+	return p.returning()
+}
--- /dev/null
+++ b/bench/internal/wal/doc.go
@@ -0,0 +1,2 @@
+// Package wal is a write-ahead log of framed entries with group commit.
+package wal
--- /dev/null
+++ b/bench/internal/wal/file.go
@@ -0,0 +1,91 @@
+package wal
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"sync"
+)
+
+// File holds the bytes of a log.
+type File interface {
+	// ReadAll returns all bytes.
+	ReadAll() ([]byte, error)
+	// Truncate cuts the file to a size.
+	Truncate(size int64) error
+	// Write appends bytes and makes them durable.
+	Write(data []byte) error
+	// Close gives up the file; its durable bytes stay.
+	Close() error
+}
+
+// Disk is a log file on disk.
+type Disk struct{ file *os.File }
+
+// OpenDisk opens or creates a file and its folder.
+func OpenDisk(path string) (*Disk, error) {
+	if err := os.MkdirAll(filepath.Dir(path), 0o750); err != nil {
+		return nil, fmt.Errorf("wal: %w", err)
+	}
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, 0o640)
+	if err != nil {
+		return nil, fmt.Errorf("wal: %w", err)
+	}
+	return &Disk{file: file}, nil
+}
+
+// ReadAll returns all bytes.
+func (d *Disk) ReadAll() ([]byte, error) { return io.ReadAll(d.file) }
+
+// Truncate cuts the file to a size.
+func (d *Disk) Truncate(size int64) error {
+	if err := d.file.Truncate(size); err != nil {
+		return err
+	}
+	_, err := d.file.Seek(size, io.SeekStart)
+	return err
+}
+
+// Write appends bytes and syncs them.
+func (d *Disk) Write(data []byte) error {
+	if _, err := d.file.Write(data); err != nil {
+		return err
+	}
+	return d.file.Sync()
+}
+
+// Close closes the file.
+func (d *Disk) Close() error { return d.file.Close() }
+
+// Memory is a log file in memory, which outlives the logs that use it.
+type Memory struct {
+	mu   sync.Mutex
+	data []byte
+}
+
+// ReadAll returns a copy of all bytes.
+func (m *Memory) ReadAll() ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return append([]byte(nil), m.data...), nil
+}
+
+// Truncate cuts the bytes to a size.
+func (m *Memory) Truncate(size int64) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.data = m.data[:size]
+	return nil
+}
+
+// Write appends bytes.
+func (m *Memory) Write(data []byte) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.data = append(m.data, data...)
+	return nil
+}
+
+// Close does nothing.
+func (m *Memory) Close() error { return nil }
--- a/bench/main.go
+++ b/bench/main.go
@@ -1,4 +1,17 @@
-// Command bench is a program of lentilwind.
+// Command bench is lentil-bench: stand-in databases, load and reports.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"lentilwind.dev/bench/internal/command"
+)
+
+func main() {
+	if err := command.New().ExecuteContext(context.Background()); err != nil {
+		fmt.Fprintln(os.Stderr, "lentil-bench:", err)
+		os.Exit(1)
+	}
+}
