--- /dev/null
+++ b/lentilwind/catalog/doc.go
@@ -0,0 +1,2 @@
+// Package catalog has the state that control processes replicate: inventories, group configurations and learned failures.
+package catalog
--- /dev/null
+++ b/lentilwind/catalog/state.go
@@ -0,0 +1,123 @@
+package catalog
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+
+	"lentilwind.dev/lentilwind/group"
+	"lentilwind.dev/lentilwind/inventory"
+	"lentilwind.dev/lentilwind/journal"
+	"lentilwind.dev/lentilwind/protocol"
+)
+
+// State is one immutable version of the replicated state; the zero value is the empty state.
+type State struct {
+	index      journal.Index
+	parsed     *inventory.Inventory
+	records    []protocol.InventoryRecord
+	groups     map[group.ID]group.Configuration
+	operations operationLog
+	failures   failureCounts
+}
+
+// Index returns the journal index of the last command in the state.
+func (s *State) Index() journal.Index { return s.index }
+
+// Revision returns the number of the accepted inventory, 0 before the first.
+func (s *State) Revision() inventory.Revision {
+	if len(s.records) == 0 {
+		return 0
+	}
+	return s.records[len(s.records)-1].Revision
+}
+
+// Inventory returns the accepted inventory, nil before the first; the caller must not change it.
+func (s *State) Inventory() *inventory.Inventory { return s.parsed }
+
+// Record returns one accepted inventory; its document is empty when it is too old to be kept.
+func (s *State) Record(revision inventory.Revision) (protocol.InventoryRecord, bool) {
+	i, found := slices.BinarySearchFunc(s.records, revision, func(r protocol.InventoryRecord, revision inventory.Revision) int {
+		return cmp.Compare(r.Revision, revision)
+	})
+	if !found {
+		return protocol.InventoryRecord{}, false
+	}
+	return s.records[i], true
+}
+
+// History returns the accepted inventories without their documents, newest first.
+func (s *State) History() []protocol.InventoryRecord {
+	history := make([]protocol.InventoryRecord, 0, len(s.records))
+	for _, record := range slices.Backward(s.records) {
+		record.Document = ""
+		history = append(history, record)
+	}
+	return history
+}
+
+// Group returns the configuration of one group; a group that was never set has term 0 and no primary.
+func (s *State) Group(id group.ID) group.Configuration {
+	if configuration, found := s.groups[id]; found {
+		return configuration
+	}
+	return group.Configuration{Group: id}
+}
+
+// Groups returns the configurations of all groups that were ever set, ordered by group.
+func (s *State) Groups() []group.Configuration {
+	return slices.SortedFunc(maps.Values(s.groups), func(a, b group.Configuration) int {
+		return a.Group.Compare(b.Group)
+	})
+}
+
+// Failures returns how often a server was recorded as vanished.
+func (s *State) Failures(server group.Server) uint32 { return s.failures.servers[server] }
+
+// FailuresTogether returns how often two servers were recorded as vanished together.
+func (s *State) FailuresTogether(a, b group.Server) uint32 {
+	return s.failures.pairs[newPair(a, b)].count
+}
+
+// FailsWith returns the servers that were recorded as vanished together with one server, ordered by name.
+func (s *State) FailsWith(server group.Server) []group.Server { return s.failures.with(server) }
+
+// Apply returns the state after a command and the command's result; the original stays as it was.
+func (s *State) Apply(index journal.Index, command Command) (*State, Result) {
+	next := *s
+	next.index = index
+	switch {
+	case command.ApplyInventory != nil:
+		return &next, next.applyInventory(*command.ApplyInventory)
+	case command.SetGroup != nil:
+		return &next, next.setGroup(*command.SetGroup)
+	case command.RecordFailure != nil:
+		next.failures = next.failures.record(*command.RecordFailure)
+		return &next, Result{Outcome: OutcomeAccepted}
+	}
+	return &next, Result{Outcome: OutcomeInvalid, Message: "the command is of a kind that this build does not know"}
+}
+
+// setGroup changes a copy of the group map, so that earlier versions stay whole.
+func (s *State) setGroup(command SetGroup) Result {
+	wanted := command.Configuration
+	current := s.Group(wanted.Group)
+	if current == wanted {
+		return Result{Outcome: OutcomeAccepted, Configuration: &current}
+	}
+	if current.Term != command.Expect {
+		message := fmt.Sprintf("group %s is at term %d, not %d", wanted.Group, current.Term, command.Expect)
+		return Result{Outcome: OutcomeConflict, Message: message, Configuration: &current}
+	}
+	namesPrimary := wanted.Term == current.Term && current.Primary == ""
+	if wanted.Term <= current.Term && !namesPrimary {
+		message := fmt.Sprintf("group %s already has primary %q in term %d", wanted.Group, current.Primary, current.Term)
+		return Result{Outcome: OutcomeConflict, Message: message, Configuration: &current}
+	}
+	groups := make(map[group.ID]group.Configuration, len(s.groups)+1)
+	maps.Copy(groups, s.groups)
+	groups[wanted.Group] = wanted
+	s.groups = groups
+	return Result{Outcome: OutcomeAccepted, Configuration: &wanted}
+}
