Links leave from the instance's own address

Cause: a peer, a firewall or a test relay could not tell by address who dialled. Change: outgoing sockets are bound to the IP on which the endpoint listens; a failed connection closes its socket. Conclusion: a relay before a process can cut off one data centre by source address.

--- a/instance/link/connection.go
+++ b/instance/link/connection.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/netip"
 	"sync"
 
@@ -15,32 +16,48 @@
 
 // connection is the dialled connection to one address; it is dialled again from a new socket once it has failed.
 type connection struct {
-	mu   sync.Mutex
-	conn *quic.Conn
+	mu        sync.Mutex
+	conn      *quic.Conn
+	transport *quic.Transport
 }
 
 func (c *connection) close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.conn != nil {
-		_ = c.conn.CloseWithError(0, "closing")
-	}
+	c.drop()
+}
+
+// drop closes the connection together with its socket.
+func (c *connection) drop() {
+	if c.conn == nil {
+		return
+	}
+	_ = c.conn.CloseWithError(0, "closing")
+	_ = c.transport.Close()
+	_ = c.transport.Conn.Close()
+	c.conn, c.transport = nil, nil
 }
 
 // get returns the live connection or dials a new one.
-func (c *connection) get(ctx context.Context, to netip.AddrPort, source *identity.Source) (*quic.Conn, error) {
+func (c *connection) get(ctx context.Context, from netip.Addr, to netip.AddrPort, source *identity.Source) (*quic.Conn, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.conn != nil && c.conn.Context().Err() == nil {
 		return c.conn, nil
 	}
+	c.drop()
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
-	conn, err := quic.DialAddr(ctx, to.String(), source.Client(protocolName), quicConfig())
+	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(from, 0)))
 	if err != nil {
 		return nil, fmt.Errorf("link: dial %s: %w", to, err)
 	}
-	c.conn = conn
+	transport := &quic.Transport{Conn: socket}
+	conn, err := transport.Dial(ctx, net.UDPAddrFromAddrPort(to), source.Client(protocolName), quicConfig())
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("link: dial %s: %w", to, err), transport.Close(), socket.Close())
+	}
+	c.conn, c.transport = conn, transport
 	return conn, nil
 }
 
@@ -52,7 +69,7 @@
 		e.conns[to] = c
 	}
 	e.connsMu.Unlock()
-	return c.get(ctx, to, e.cfg.Identity)
+	return c.get(ctx, e.cfg.Listen.Addr(), to, e.cfg.Identity)
 }
 
 // Call sends a request and decodes the reply; a refusal comes back as a *protocol.Refusal.
--- a/instance/link/endpoint.go
+++ b/instance/link/endpoint.go
@@ -38,6 +38,7 @@
 
 // Config is what an endpoint needs.
 type Config struct {
+	// Listen is the address of the socket; connections to others leave from its IP too.
 	Listen      netip.AddrPort
 	Name        inventory.InstanceName
 	Incarnation protocol.Incarnation
