Callers of a link wait for a dial no longer than their context allows

Cause: a mutex held over a dial made short requests wait for the whole handshake timeout. Change: the right to dial is a token that is waited for together with the context. Conclusion: a silent peer costs each message its own timeout only.

--- a/instance/link/connection.go
+++ b/instance/link/connection.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"net/netip"
-	"sync"
 
 	"github.com/quic-go/quic-go"
 
@@ -16,14 +15,31 @@
 
 // connection is the dialled connection to one address; it is dialled again from a new socket once it has failed.
 type connection struct {
-	mu        sync.Mutex
+	// turn holds one token; its holder may use the fields below.
+	turn      chan struct{}
 	conn      *quic.Conn
 	transport *quic.Transport
 }
 
+func newConnection() *connection {
+	return &connection{turn: make(chan struct{}, 1)}
+}
+
+// acquire waits for the turn no longer than the context allows.
+func (c *connection) acquire(ctx context.Context) error {
+	select {
+	case c.turn <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (c *connection) release() { <-c.turn }
+
 func (c *connection) close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.turn <- struct{}{}
+	defer c.release()
 	c.drop()
 }
 
@@ -40,8 +56,10 @@
 
 // get returns the live connection or dials a new one.
 func (c *connection) get(ctx context.Context, from netip.Addr, to netip.AddrPort, source *identity.Source) (*quic.Conn, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	if err := c.acquire(ctx); err != nil {
+		return nil, fmt.Errorf("link: dial %s: %w", to, err)
+	}
+	defer c.release()
 	if c.conn != nil && c.conn.Context().Err() == nil {
 		return c.conn, nil
 	}
@@ -65,7 +83,7 @@
 	e.connsMu.Lock()
 	c := e.conns[to]
 	if c == nil {
-		c = &connection{}
+		c = newConnection()
 		e.conns[to] = c
 	}
 	e.connsMu.Unlock()
