Relays that inject network faults between data centres

Cause: tests and the demo need partitions, delays and silent connections between real processes. Conclusion: a process that dials from its own address needs one relay before each target, not one for each pair.

--- /dev/null
+++ b/bench/relay/relay_test.go
@@ -0,0 +1,122 @@
+package relay_test
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"testing"
+	"time"
+
+	"lentilwind.dev/bench/relay"
+)
+
+const shortWait = 100 * time.Millisecond
+
+func newNetwork() *relay.Network {
+	return relay.NewNetwork(func(a netip.Addr) relay.Zone {
+		if a == netip.MustParseAddr("127.0.0.2") {
+			return "b"
+		}
+		return "a"
+	})
+}
+
+func startEcho(t *testing.T) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.2:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = io.Copy(conn, conn)
+				_ = conn.Close()
+			}()
+		}
+	}()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+func startTCP(t *testing.T, network *relay.Network) (*relay.TCP, string) {
+	t.Helper()
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := free.Addr().String()
+	if err := free.Close(); err != nil {
+		t.Fatal(err)
+	}
+	r, err := relay.ListenTCP(network, netip.MustParseAddrPort(address), startEcho(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = r.Close() })
+	return r, address
+}
+
+func dial(t *testing.T, address string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+// exchange sends one byte and tells whether it came back within the wait.
+func exchange(t *testing.T, conn net.Conn, wait time.Duration) bool {
+	t.Helper()
+	if _, err := conn.Write([]byte("x")); err != nil {
+		return false
+	}
+	if err := conn.SetReadDeadline(time.Now().Add(wait)); err != nil {
+		t.Fatal(err)
+	}
+	_, err := conn.Read(make([]byte, 1))
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatal(err)
+	}
+	return err == nil
+}
+
+func TestCutHoldsBytesBackAndHealingDeliversThem(t *testing.T) {
+	network := newNetwork()
+	_, address := startTCP(t, network)
+	conn := dial(t, address)
+	if !exchange(t, conn, 5*time.Second) {
+		t.Fatal("no answer without faults")
+	}
+	network.Set("a", "b", relay.Fault{Cut: true})
+	if exchange(t, conn, shortWait) {
+		t.Error("a byte crossed the cut")
+	}
+	network.Heal()
+	if !exchange(t, conn, 5*time.Second) {
+		t.Error("no answer after healing")
+	}
+}
+
+func TestSilentConnectionsStaySilentWhileNewOnesWork(t *testing.T) {
+	r, address := startTCP(t, newNetwork())
+	old := dial(t, address)
+	if !exchange(t, old, 5*time.Second) {
+		t.Fatal("no answer without faults")
+	}
+	r.SilenceConnections()
+	if exchange(t, old, shortWait) {
+		t.Error("a silent connection answered")
+	}
+	if !exchange(t, dial(t, address), 5*time.Second) {
+		t.Error("a new connection got no answer")
+	}
+}
