Fair queue for connections, and failure tests of the request path

Cause: the request path was driven by one test only. Change: pools order waiting transactions by package queue; a refused BEGIN passes on the database's own error.

--- a/entry/internal/caller/exchange.go
+++ b/entry/internal/caller/exchange.go
@@ -266,6 +266,7 @@
 func (x *exchange) count() {
 	counters := &x.caller.server.Counters
 	switch {
+	case !x.caller.buffers.request.Executes:
 	case !x.ticket.reads():
 		counters.Writes.Add(1)
 	case x.where.replica:
--- /dev/null
+++ b/entry/internal/caller/refusal_test.go
@@ -0,0 +1,260 @@
+package caller_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"lentilwind.dev/bench/database"
+	"lentilwind.dev/bench/history"
+	"lentilwind.dev/entry/internal/directory"
+	"lentilwind.dev/lentilwind/jsonc"
+)
+
+func stateOf(err error) string {
+	var refused *pgconn.PgError
+	if errors.As(err, &refused) {
+		return refused.Code
+	}
+	if err != nil {
+		return "error: " + err.Error()
+	}
+	return ""
+}
+
+func wantState(t *testing.T, err error, want string) {
+	t.Helper()
+	if got := stateOf(err); got != want {
+		t.Errorf("SQLSTATE %q, want %q (%v)", got, want, err)
+	}
+}
+
+// statements counts the statements with this text that any database was sent.
+func (f *fleet) statements(text string) int {
+	n := 0
+	for _, db := range f.databases {
+		for _, o := range db.Record() {
+			if o.Kind == history.DatabaseStatement && strings.Contains(o.Statement, text) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func TestRequestThatMustNotReachADatabaseIsRefused(t *testing.T) {
+	f := newFleet(t, nil)
+	e := f.newEntry()
+	conn := e.connect(t, "")
+	ctx := testContext(t)
+	for name, run := range map[string]func() error{
+		"key in the text":      func() error { _, err := conn.Exec(ctx, "SELECT '"+testKey+"'"); return err },
+		"key as a parameter":   func() error { _, err := conn.Exec(ctx, insertOrder, testKey, 1); return err },
+		"reserved parameter":   func() error { _, err := conn.Exec(ctx, "SET LentilWind.workspace = 'stallholders'"); return err },
+		"unknown route":        func() error { _, err := conn.Exec(ctx, "/*route='none'*/ SELECT 1"); return err },
+		"reserved as argument": func() error { _, err := conn.Exec(ctx, insertOrder, "lentilwind.slot", 1); return err },
+	} {
+		t.Run(name, func(t *testing.T) { wantState(t, run(), "LW001") })
+	}
+	if _, err := conn.Exec(ctx, insertOrder, "a", 1); err != nil {
+		t.Errorf("the connection is of no use after refusals: %v", err)
+	}
+	for _, db := range f.databases {
+		if db.Received(testKey) {
+			t.Error("a database received the key")
+		}
+	}
+	if f.statements("route='none'") != 0 {
+		t.Error("a refused statement reached a database")
+	}
+}
+
+func TestKeysAreChecked(t *testing.T) {
+	f := newFleet(t, nil)
+	e := f.newEntry()
+	for name, login := range map[string][2]string{
+		"wrong key":         {testWorkspace, "lw-wrong"},
+		"key of another":    {testWorkspace, otherKey},
+		"unknown workspace": {"nobody", testKey},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := pgx.Connect(testContext(t), fmt.Sprintf(e.url, login[0], login[1]))
+			wantState(t, err, "28P01")
+		})
+	}
+	public := e.connectAs(t, "public", "", "")
+	var one int
+	if err := public.QueryRow(testContext(t), "/*route='shelf'*/ SELECT 1").Scan(&one); err != nil || one != 1 {
+		t.Errorf("open route: %d, %v", one, err)
+	}
+	_, err := public.Exec(testContext(t), "/*route='lookup'*/ SELECT 1")
+	wantState(t, err, "LW001")
+}
+
+func TestRefusedKeysAreLimitedByAddress(t *testing.T) {
+	f := newFleet(t, nil)
+	e := f.newEntry()
+	for range 100 {
+		_, err := pgx.Connect(testContext(t), fmt.Sprintf(e.url, testWorkspace, "lw-wrong"))
+		if stateOf(err) == "53300" {
+			return
+		}
+	}
+	t.Error("never limited")
+}
+
+func TestWithdrawnKeyClosesIdleCallersAndRefusesOthers(t *testing.T) {
+	f := newFleet(t, nil)
+	e := f.newEntry()
+	ctx := testContext(t)
+	idle, inBlock, other := e.connect(t, ""), e.connect(t, ""), e.connectAs(t, "stallholders", otherKey, "")
+	tx, err := inBlock.Begin(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := tx.Exec(ctx, "INSERT INTO stock (key, value) VALUES ('x', 1)"); err != nil {
+		t.Fatal(err)
+	}
+	f.inventory.Workspaces[0].Keys = nil
+	f.apply()
+	for e.server.Callers() > 1 {
+		if ctx.Err() != nil {
+			t.Fatal("callers with the withdrawn key stay connected")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	_, err = idle.Exec(ctx, "SELECT 1")
+	wantState(t, err, "LW004")
+	wantState(t, tx.Commit(ctx), "LW004")
+	if _, err := other.Exec(ctx, "SELECT 1"); err != nil {
+		t.Errorf("another workspace: %v", err)
+	}
+	var n int
+	if err := other.QueryRow(ctx, "SELECT count(*) FROM stock").Scan(&n); err != nil || n != 0 {
+		t.Errorf("%d rows, %v", n, err)
+	}
+}
+
+func TestWithoutALeaseOnlyOpenRoutesAreServed(t *testing.T) {
+	f := newFleet(t, nil)
+	f.directory = directory.New()
+	f.directory.ExtendLease(time.Now().Add(time.Second))
+	f.apply()
+	f.publish(1, serverName(0))
+	e := f.newEntry()
+	conn := e.connect(t, "")
+	ctx := testContext(t)
+	f.await(ctx, func() bool { return !f.directory.Leased(time.Now()) })
+	_, err := conn.Exec(ctx, insertOrder, "a", 1)
+	wantState(t, err, "LW001")
+	var one int
+	if err := conn.QueryRow(ctx, "/*route='shelf'*/ SELECT 1").Scan(&one); err != nil {
+		t.Errorf("open route: %v", err)
+	}
+	if f.statements("INSERT") != 0 {
+		t.Error("a refused statement reached a database")
+	}
+}
+
+func TestDatabaseKilledWhileItRunsAWriteLeavesTheOutcomeUnknown(t *testing.T) {
+	f := newFleet(t, nil)
+	e := f.newEntry()
+	conn := e.connect(t, "")
+	ctx := testContext(t)
+	done := make(chan error, 1)
+	go func() {
+		_, err := conn.Exec(ctx, "/*route='order'*/ SELECT pg_sleep(30)")
+		done <- err
+	}()
+	f.await(ctx, func() bool { return f.statements("pg_sleep") == 1 })
+	f.databases[0].Drop()
+	wantState(t, <-done, "LW002")
+	if n := f.statements("pg_sleep"); n != 1 {
+		t.Errorf("sent %d times", n)
+	}
+}
+
+func (f *fleet) await(ctx context.Context, condition func() bool) {
+	f.t.Helper()
+	for !condition() {
+		if ctx.Err() != nil {
+			f.t.Fatal("the condition never held")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func TestDatabaseThatCannotBeReachedMeansNotRun(t *testing.T) {
+	f := newFleet(t, nil)
+	f.limits.RequestTimeout = 200 * time.Millisecond
+	e := f.newEntry()
+	conn := e.connect(t, "")
+	if err := f.databases[0].Crash(); err != nil {
+		t.Fatal(err)
+	}
+	_, err := conn.Exec(testContext(t), "/*route='order'*/ INSERT INTO stock (key, value) VALUES ('a', 1)")
+	wantState(t, err, "LW001")
+	f.publish(1, "")
+	// A group without a primary is told apart.
+	_, err = conn.Exec(testContext(t), "/*route='order'*/ INSERT INTO stock (key, value) VALUES ('a', 1)")
+	if state := stateOf(err); state != "LW001" && state != "LW005" {
+		t.Errorf("got %v", err)
+	}
+}
+
+func TestWriteThatNoMajorityHoldsIsUnknown(t *testing.T) {
+	f := newFleet(t, nil)
+	f.limits.ConfirmTimeout = 300 * time.Millisecond
+	e := f.newEntry()
+	conn := e.connect(t, "")
+	ctx := testContext(t)
+	if _, err := conn.Exec(ctx, insertOrder, "a", 1); err != nil {
+		t.Fatal(err)
+	}
+	f.databases[0].SetFaults(func(faults *database.Faults) { faults.PauseReplication = true })
+	_, err := conn.Exec(ctx, insertOrder, "b", 2)
+	wantState(t, err, "LW002")
+	tx, err := conn.Begin(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := tx.Exec(ctx, "/*route='order'*/ INSERT INTO stock (key, value) VALUES ('c', 1)"); err != nil {
+		t.Fatal(err)
+	}
+	wantState(t, tx.Commit(ctx), "LW002")
+}
+
+func TestReadsAreNeverStalerThanTheirRouteAllows(t *testing.T) {
+	f := newFleet(t, nil)
+	f.inventory.Routes[0].MaxStaleness = jsonc.Duration(200 * time.Millisecond)
+	f.apply()
+	writers, readers := f.newEntry(), f.newEntry()
+	ctx := testContext(t)
+	writer, reader := writers.connect(t, ""), readers.connect(t, "")
+	if _, err := writer.Exec(ctx, insertOrder, "a", 0); err != nil {
+		t.Fatal(err)
+	}
+	var value int
+	if err := reader.QueryRow(ctx, readLookup, "a").Scan(&value); err != nil {
+		t.Fatal(err)
+	}
+	f.databases[1].SetFaults(func(faults *database.Faults) { faults.ApplyDelay = jsonc.Duration(time.Second) })
+	f.databases[2].SetFaults(func(faults *database.Faults) { faults.ApplyDelay = jsonc.Duration(time.Second) })
+	for i := 1; i <= 20; i++ {
+		acknowledged := time.Now()
+		if _, err := writer.Exec(ctx, "/*route='order'*/ UPDATE stock SET value = $1 WHERE key = 'a'", i); err != nil {
+			t.Fatal(err)
+		}
+		done := time.Now()
+		f.await(ctx, func() bool { return time.Since(done) > 210*time.Millisecond })
+		if err := reader.QueryRow(ctx, readLookup, "a").Scan(&value); err != nil || value < i {
+			t.Fatalf("read %d after %v, want %d: %v", value, time.Since(acknowledged), i, err)
+		}
+	}
+}
--- a/entry/internal/executor/first.go
+++ b/entry/internal/executor/first.go
@@ -146,15 +146,26 @@
 		if isTimeout(err) {
 			t.pool.Silent()
 		}
-		var database *relay.DatabaseError
-		if errors.As(err, &database) {
-			return outcome.At(outcome.ReasonScope, err)
+		if failure := t.preambleRefused(p, err); failure != nil {
+			return failure
 		}
 		return outcome.At(outcome.ReasonConnect, err)
 	}
 	return t.checkFloor()
 }
 
+// preambleRefused is the outcome when the database refused a part of the preamble; the caller wrote the BEGIN itself.
+func (t *local) preambleRefused(p preamble, err error) error {
+	var database *relay.DatabaseError
+	if !errors.As(err, &database) {
+		return nil
+	}
+	if p.begin && t.conn.Scoped {
+		return &outcome.Failure{State: database.State, Message: database.Message, Cause: err}
+	}
+	return outcome.At(outcome.ReasonScope, err)
+}
+
 // settle reads the answer of a preamble that the batch was sent with.
 func (t *local) settle(p preamble) error {
 	if p.answers() == 0 {
@@ -198,7 +209,10 @@
 		}
 		switch kind {
 		case relay.KindError:
-			failed = relay.DecodeError(t.body)
+			if failed == nil {
+				failed = relay.DecodeError(t.body)
+				t.conn.Scoped = p.begin && left == 1
+			}
 		case relay.KindParameterStatus:
 			t.takePosition(t.body)
 		case relay.KindReady:
@@ -207,7 +221,6 @@
 		}
 	}
 	if failed != nil {
-		t.conn.Scoped = false
 		t.conn.Dirty = true
 		return failed
 	}
--- a/entry/internal/pool/pool.go
+++ b/entry/internal/pool/pool.go
@@ -46,7 +46,7 @@
 
 // NewPool returns an empty pool of at most limit connections.
 func NewPool(service group.Service, server group.Server, address netip.AddrPort, limit int) *Pool {
-	return &Pool{service: service, server: server, address: address, limit: limit, answered: time.Now()}
+	return &Pool{service: service, server: server, address: address, limit: limit, answered: time.Now(), waiting: newWaiters()}
 }
 
 // Acquire returns a connection that nobody else uses, opened if need be.
@@ -76,7 +76,7 @@
 			return nil, nil
 		}
 	}
-	w, err := p.waiting.add(want, time.Now(), ctx)
+	w, err := p.waiting.add(ctx, want, time.Now())
 	p.mu.Unlock()
 	if err != nil {
 		return nil, err
@@ -210,7 +210,7 @@
 		_ = conn.Close()
 		return
 	}
-	if w := p.waiting.next(time.Now(), conn); w != nil {
+	if w := p.waiting.next(time.Now()); w != nil {
 		p.mu.Unlock()
 		w.granted <- grant{conn: conn}
 		return
@@ -251,7 +251,7 @@
 func (p *Pool) grantRoom() []*waiter {
 	var granted []*waiter
 	for p.open < p.limit {
-		w := p.waiting.next(time.Now(), nil)
+		w := p.waiting.next(time.Now())
 		if w == nil {
 			break
 		}
@@ -299,7 +299,7 @@
 	p.idle = nil
 	p.open -= len(idle)
 	var refused []*waiter
-	for w := p.waiting.next(time.Now(), nil); w != nil; w = p.waiting.next(time.Now(), nil) {
+	for w := p.waiting.next(time.Now()); w != nil; w = p.waiting.next(time.Now()) {
 		refused = append(refused, w)
 	}
 	p.mu.Unlock()
--- a/entry/internal/pool/waiters.go
+++ b/entry/internal/pool/waiters.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"lentilwind.dev/lentilwind/inventory"
+	"lentilwind.dev/lentilwind/queue"
 )
 
 // Class decides in which order transactions that wait get connections.
@@ -15,6 +15,26 @@
 	Weight    int
 }
 
+// Limits of a pool's queue.
+const (
+	maxWaiting = 2_000
+	ageBound   = 2 * time.Second
+	// defaultWait bounds the wait of a transaction whose context has no deadline.
+	defaultWait = 30 * time.Second
+)
+
+// priorities is the order of the classes.
+var priorities = [...]inventory.Priority{inventory.PriorityHigh, inventory.PriorityNormal, inventory.PriorityLow}
+
+func classOf(priority inventory.Priority) int {
+	for i, p := range priorities {
+		if p == priority {
+			return i
+		}
+	}
+	return len(priorities) / 2
+}
+
 // grant is what a waiting transaction gets: a connection, the right to open one, or an error.
 type grant struct {
 	conn *Conn
@@ -22,37 +42,55 @@
 }
 
 type waiter struct {
-	want    *Want
 	granted chan grant
+	item    *queue.Item[inventory.WorkspaceName, *waiter]
 }
 
-// waiters is the transactions that wait for a connection.
+func (w *waiter) refuse(err error) { w.granted <- grant{err: err} }
+
+// waiters is the transactions that wait for a connection; the pool's lock guards it.
 type waiters struct {
-	list []*waiter
+	queue *queue.Queue[inventory.WorkspaceName, *waiter]
 }
 
-func (q *waiters) len() int { return len(q.list) }
+func newWaiters() waiters {
+	return waiters{queue: queue.New[inventory.WorkspaceName, *waiter](queue.Config{
+		Classes: len(priorities), MaxLength: maxWaiting, AgeBound: ageBound,
+	})}
+}
 
-func (q *waiters) add(want *Want, _ time.Time, _ context.Context) (*waiter, error) {
-	w := &waiter{want: want, granted: make(chan grant, 1)}
-	q.list = append(q.list, w)
+func (q *waiters) len() int { return q.queue.Len() }
+
+// add lets a transaction wait, or refuses it at once when its turn would come too late.
+func (q *waiters) add(ctx context.Context, want *Want, now time.Time) (*waiter, error) {
+	deadline, found := ctx.Deadline()
+	if !found {
+		deadline = now.Add(defaultWait)
+	}
+	w := &waiter{granted: make(chan grant, 1)}
+	pushed := q.queue.Push(queue.Request[inventory.WorkspaceName, *waiter]{
+		Key: want.Class.Workspace, Weight: want.Class.Weight, Class: classOf(want.Class.Priority), Deadline: deadline, Value: w,
+	}, now)
+	if pushed.Evicted != nil {
+		pushed.Evicted.Value.refuse(ErrRefused)
+	}
+	if pushed.Outcome != queue.Accepted {
+		return nil, ErrRefused
+	}
+	w.item = pushed.Item
 	return w, nil
 }
 
-func (q *waiters) next(time.Time, *Conn) *waiter {
-	if len(q.list) == 0 {
+// next takes out the transaction whose turn it is; nil when none waits.
+func (q *waiters) next(now time.Time) *waiter {
+	item, found := q.queue.Pop(now)
+	for _, expired := range q.queue.Expire(now) {
+		expired.Value.refuse(ErrRefused)
+	}
+	if !found {
 		return nil
 	}
-	w := q.list[0]
-	q.list = q.list[1:]
-	return w
+	return item.Value
 }
 
-func (q *waiters) remove(w *waiter) bool {
-	i := slices.Index(q.list, w)
-	if i < 0 {
-		return false
-	}
-	q.list = slices.Delete(q.list, i, i+1)
-	return true
-}
+func (q *waiters) remove(w *waiter) bool { return q.queue.Remove(w.item) }
