Failover of a database group as a deterministic state machine

Cause: nothing decided which member becomes primary and in which order that is journalled, told and published.

--- /dev/null
+++ b/lentilwind/failover/detector.go
@@ -0,0 +1,238 @@
+package failover
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"lentilwind.dev/lentilwind/group"
+	"lentilwind.dev/lentilwind/inventory"
+	"lentilwind.dev/lentilwind/protocol"
+)
+
+// ServerID names one backend server.
+type ServerID struct {
+	Service group.Service
+	Server  group.Server
+}
+
+// Compare orders servers by service, then by name.
+func (id ServerID) Compare(other ServerID) int {
+	return cmp.Or(cmp.Compare(id.Service, other.Service), cmp.Compare(id.Server, other.Server))
+}
+
+// ProbeOutcome tells how a probe on a new connection ended.
+type ProbeOutcome string
+
+// The outcomes of probes.
+const (
+	ProbeAnswered ProbeOutcome = "answered"
+	// ProbeRefused means that the server's system answered and no database listens.
+	ProbeRefused ProbeOutcome = "refused"
+	ProbeSilent  ProbeOutcome = "silent"
+)
+
+// DetectorConfig has the times of failure detection.
+type DetectorConfig struct {
+	// EntrySilentAfter is the time after which an entry that does not report counts no more.
+	EntrySilentAfter time.Duration
+	// ProbeEvery is the time between two probes of a suspected server.
+	ProbeEvery time.Duration
+	// RefusedFor is how long probes must have been refused.
+	RefusedFor time.Duration
+	// SilentFor is how long a server must not have announced itself when probes get no answer.
+	SilentFor time.Duration
+	// StuckFor is how long probes must have failed when the server goes on announcing itself.
+	StuckFor time.Duration
+}
+
+// DefaultDetectorConfig returns the times for servers that announce themselves every second.
+func DefaultDetectorConfig() DetectorConfig {
+	return DetectorConfig{
+		EntrySilentAfter: 4 * time.Second,
+		ProbeEvery:       100 * time.Millisecond,
+		RefusedFor:       100 * time.Millisecond,
+		SilentFor:        1200 * time.Millisecond,
+		StuckFor:         5 * time.Second,
+	}
+}
+
+// Detector decides which servers are dead from the reports of entries, announcements and probes.
+//
+// A server is probed only once enough data centres suspect it, so a healthy fleet causes no probe at all.
+type Detector struct {
+	cfg      DetectorConfig
+	started  time.Time
+	entries  map[inventory.InstanceName]*reporter
+	suspects map[ServerID]*suspect
+}
+
+// reporter is one entry that reports.
+type reporter struct {
+	dataCentre inventory.DataCentre
+	seen       time.Time
+	suspects   []ServerID
+}
+
+// suspect is a server that at least one entry gets no answer from.
+type suspect struct {
+	reporters map[inventory.InstanceName]struct{}
+	probing   bool
+	nextProbe time.Time
+	// failing is the start of the unbroken run of failed probes.
+	failing time.Time
+	// refusing is the start of the unbroken run of refused probes.
+	refusing time.Time
+}
+
+// NewDetector returns a detector without suspicions for a leader that begins now.
+func NewDetector(cfg DetectorConfig, now time.Time) *Detector {
+	return &Detector{
+		cfg:      cfg,
+		started:  now,
+		entries:  make(map[inventory.InstanceName]*reporter),
+		suspects: make(map[ServerID]*suspect),
+	}
+}
+
+// Report takes in an entry's report, which replaces its earlier one.
+func (d *Detector) Report(now time.Time, report protocol.EntryReport) {
+	entry := d.entries[report.Name]
+	if entry == nil {
+		entry = &reporter{}
+		d.entries[report.Name] = entry
+	}
+	entry.dataCentre = report.DataCentre
+	entry.seen = now
+	d.withdraw(report.Name, entry)
+	for _, suspicion := range report.Suspects {
+		id := ServerID{Service: suspicion.Service, Server: suspicion.Server}
+		entry.suspects = append(entry.suspects, id)
+		s := d.suspects[id]
+		if s == nil {
+			s = &suspect{reporters: make(map[inventory.InstanceName]struct{})}
+			d.suspects[id] = s
+		}
+		s.reporters[report.Name] = struct{}{}
+	}
+	d.forgetCleared()
+}
+
+// withdraw takes back an entry's earlier suspicions.
+func (d *Detector) withdraw(name inventory.InstanceName, entry *reporter) {
+	for _, id := range entry.suspects {
+		if s := d.suspects[id]; s != nil {
+			delete(s.reporters, name)
+		}
+	}
+	entry.suspects = entry.suspects[:0]
+}
+
+// forgetCleared drops the servers that no entry suspects.
+func (d *Detector) forgetCleared() {
+	for id, s := range d.suspects {
+		if len(s.reporters) == 0 {
+			delete(d.suspects, id)
+		}
+	}
+}
+
+// Probed takes in the outcome of a probe.
+func (d *Detector) Probed(now time.Time, id ServerID, outcome ProbeOutcome) {
+	s := d.suspects[id]
+	if s == nil {
+		return
+	}
+	s.probing = false
+	s.nextProbe = now.Add(d.cfg.ProbeEvery)
+	if outcome == ProbeAnswered {
+		s.failing, s.refusing = time.Time{}, time.Time{}
+		return
+	}
+	if s.failing.IsZero() {
+		s.failing = now
+	}
+	if outcome != ProbeRefused {
+		s.refusing = time.Time{}
+	} else if s.refusing.IsZero() {
+		s.refusing = now
+	}
+}
+
+// Verdict is what a Tick of the detector found.
+type Verdict struct {
+	// Probe lists servers to be probed on new connections.
+	Probe []ServerID
+	// Failed lists the servers that are dead.
+	Failed []ServerID
+}
+
+// Tick drops silent entries and judges the suspected servers; heard gives the time of a server's last announcement.
+func (d *Detector) Tick(now time.Time, heard func(ServerID) time.Time) Verdict {
+	d.dropSilent(now)
+	var verdict Verdict
+	if len(d.suspects) == 0 {
+		return verdict
+	}
+	live := d.liveDataCentres()
+	for _, id := range slices.SortedFunc(maps.Keys(d.suspects), ServerID.Compare) {
+		s := d.suspects[id]
+		if !d.agreed(s, live) {
+			s.failing, s.refusing = time.Time{}, time.Time{}
+			continue
+		}
+		if !s.probing && !now.Before(s.nextProbe) {
+			s.probing = true
+			verdict.Probe = append(verdict.Probe, id)
+		}
+		if d.dead(now, s, heard(id)) {
+			verdict.Failed = append(verdict.Failed, id)
+		}
+	}
+	return verdict
+}
+
+// Busy tells whether any server is suspected, so that the detector needs frequent ticks.
+func (d *Detector) Busy() bool { return len(d.suspects) > 0 }
+
+func (d *Detector) dropSilent(now time.Time) {
+	for name, entry := range d.entries {
+		if now.Sub(entry.seen) > d.cfg.EntrySilentAfter {
+			d.withdraw(name, entry)
+			delete(d.entries, name)
+		}
+	}
+	d.forgetCleared()
+}
+
+func (d *Detector) liveDataCentres() int {
+	live := make(map[inventory.DataCentre]struct{})
+	for _, entry := range d.entries {
+		live[entry.dataCentre] = struct{}{}
+	}
+	return len(live)
+}
+
+// agreed tells whether the server is suspected from a majority of the data centres with live entries, and from two if there are two.
+func (d *Detector) agreed(s *suspect, live int) bool {
+	from := make(map[inventory.DataCentre]struct{})
+	for name := range s.reporters {
+		from[d.entries[name].dataCentre] = struct{}{}
+	}
+	return len(from) >= majority(live)
+}
+
+// dead judges a server that enough data centres suspect.
+func (d *Detector) dead(now time.Time, s *suspect, heard time.Time) bool {
+	if s.failing.IsZero() {
+		return false
+	}
+	if heard.Before(d.started) {
+		heard = d.started
+	}
+	refused := !s.refusing.IsZero() && now.Sub(s.refusing) >= d.cfg.RefusedFor && heard.Before(s.refusing)
+	silent := now.Sub(heard) >= d.cfg.SilentFor
+	stuck := now.Sub(s.failing) >= d.cfg.StuckFor
+	return refused || silent || stuck
+}
--- /dev/null
+++ b/lentilwind/failover/effect.go
@@ -0,0 +1,76 @@
+package failover
+
+import (
+	"time"
+
+	"lentilwind.dev/lentilwind/group"
+)
+
+// Effect is an output of a Machine: something for the caller to do and, but for Publish and Note, to answer by an event.
+type Effect interface{ effect() }
+
+// Journal asks for a configuration to be made durable if the group's term is still Expect.
+//
+// A configuration of the same term may only name a primary where none was named before.
+type Journal struct {
+	Expect group.Term
+	Next   group.Configuration
+}
+
+// Fence asks a member to promise the term.
+type Fence struct {
+	Server group.Server
+	Term   group.Term
+}
+
+// Wait asks a member to answer once it has received the position.
+type Wait struct {
+	Server   group.Server
+	Term     group.Term
+	Position group.Position
+	For      time.Duration
+}
+
+// Promote asks a fenced member to become the primary of the term.
+type Promote struct {
+	Server   group.Server
+	Term     group.Term
+	Position group.Position
+}
+
+// Follow asks a member to follow the primary of the term.
+type Follow struct {
+	Server  group.Server
+	Term    group.Term
+	Address string
+}
+
+// Publish lets the entries know a journalled configuration.
+type Publish struct{ Configuration group.Configuration }
+
+// NoteKind names a step of a failover for the time line.
+type NoteKind string
+
+// The kinds of notes.
+const (
+	NoteTermBegun       NoteKind = "termBegun"
+	NoteMemberFenced    NoteKind = "memberFenced"
+	NotePrimaryPromoted NoteKind = "primaryPromoted"
+	NoteRefused         NoteKind = "failoverRefused"
+)
+
+// Note reports a step to operators.
+type Note struct {
+	Kind   NoteKind
+	Server group.Server
+	Term   group.Term
+	Detail string
+}
+
+func (Journal) effect() {}
+func (Fence) effect()   {}
+func (Wait) effect()    {}
+func (Promote) effect() {}
+func (Follow) effect()  {}
+func (Publish) effect() {}
+func (Note) effect()    {}
--- /dev/null
+++ b/lentilwind/failover/fence.go
@@ -0,0 +1,83 @@
+package failover
+
+import (
+	"fmt"
+	"time"
+
+	"lentilwind.dev/lentilwind/group"
+)
+
+// failedRetryFactor spaces the fences of members that are thought dead.
+const failedRetryFactor = 4
+
+// fence asks every member to promise the term and chooses once a majority has.
+func (m *Machine) fence(now time.Time) {
+	if m.highestTerm() > m.config.Term {
+		m.handover = handover{}
+		m.begin(now)
+		return
+	}
+	for _, mb := range m.members {
+		m.fenceMember(now, mb)
+	}
+	counted := m.counted()
+	if quorum := m.rules.quorum(len(m.members)); len(counted) < quorum {
+		m.awaitMajority(now, len(counted))
+		return
+	}
+	if m.majorityAt.IsZero() {
+		m.majorityAt = now
+	}
+	grace := m.majorityAt.Add(m.cfg.ChooseGrace)
+	if now.Before(grace) && m.answersMissing(now) {
+		m.wakeAt(grace)
+		return
+	}
+	m.rules.appoint(m, now, m.choose(counted))
+}
+
+// fenceMember sends the fence again after a delay until the member has answered.
+func (m *Machine) fenceMember(now time.Time, mb *member) {
+	if mb.fenced || mb.address == "" {
+		return
+	}
+	if now.Before(mb.fenceTry) {
+		m.wakeAt(mb.fenceTry)
+		return
+	}
+	delay := m.cfg.RetryEvery
+	if mb.failed {
+		delay *= failedRetryFactor
+	}
+	mb.fenceTry = now.Add(delay)
+	m.wakeAt(mb.fenceTry)
+	m.emit(Fence{Server: mb.Server, Term: m.config.Term})
+}
+
+func (m *Machine) awaitMajority(now time.Time, counted int) {
+	report := m.entered.Add(m.cfg.RefuseAfter)
+	if now.Before(report) {
+		m.wakeAt(report)
+		return
+	}
+	m.refuse(now, fmt.Sprintf("%d of %d members count", counted, len(m.members)))
+}
+
+// answersMissing tells whether a member that seems alive has not answered its fence.
+func (m *Machine) answersMissing(now time.Time) bool {
+	for _, mb := range m.members {
+		if !mb.fenced && mb.reachable(now, m.cfg.HeardWithin) {
+			return true
+		}
+	}
+	return false
+}
+
+// appoint journals the chosen member before anything is told to it.
+//
+// A primary that was promoted first could be unknown to the next leader, which would choose a second one for the term.
+func appoint(m *Machine, now time.Time, chosen *member) {
+	m.chosen = chosen.fenceAnswer
+	m.next = group.Configuration{Group: m.id, Term: m.config.Term, Primary: chosen.Server}
+	m.enter(now, phaseAppointing)
+}
