Roster of servers and entries, and learned common failure

Cause: control needs to know who is alive, to tell entries by deltas, and to steer promotions off shared power feeds. An entry's report names its topology and the groups in which older transactions still run, so a handover can wait for them. Conclusion: a new leader's topology is full only once it has had time to hear of every live process.

--- /dev/null
+++ b/lentilwind/affinity/doc.go
@@ -0,0 +1,2 @@
+// Package affinity learns from observed failures which servers fail together.
+package affinity
--- /dev/null
+++ b/lentilwind/affinity/window.go
@@ -0,0 +1,39 @@
+package affinity
+
+import (
+	"slices"
+	"time"
+
+	"lentilwind.dev/lentilwind/group"
+)
+
+// Window joins servers that vanish within a short time of each other into one failure.
+type Window struct {
+	length  time.Duration
+	opened  time.Time
+	servers []group.Server
+}
+
+// NewWindow returns a window that closes a fixed time after the first server vanished.
+func NewWindow(length time.Duration) *Window { return &Window{length: length} }
+
+// Vanished takes in one server that vanished without having said that it leaves.
+func (w *Window) Vanished(now time.Time, server group.Server) {
+	if len(w.servers) == 0 {
+		w.opened = now
+	}
+	if !slices.Contains(w.servers, server) {
+		w.servers = append(w.servers, server)
+	}
+}
+
+// Close returns the servers of a failure whose window is over, ordered by name; it is nil while there is none.
+func (w *Window) Close(now time.Time) []group.Server {
+	if len(w.servers) == 0 || now.Sub(w.opened) < w.length {
+		return nil
+	}
+	servers := w.servers
+	w.servers = nil
+	slices.Sort(servers)
+	return servers
+}
--- a/lentilwind/protocol/renew.go
+++ b/lentilwind/protocol/renew.go
@@ -13,6 +13,14 @@
 	Count      uint64 `cbor:"2,keyasint"`
 }
 
+// Reaches tells whether the version is at least as new as another one.
+func (v TopologyVersion) Reaches(other TopologyVersion) bool {
+	if v.LeaderTerm != other.LeaderTerm {
+		return v.LeaderTerm > other.LeaderTerm
+	}
+	return v.Count >= other.Count
+}
+
 // EntryReport is what one entry tells control with each renewal.
 type EntryReport struct {
 	Name        inventory.InstanceName `cbor:"1,keyasint"`
@@ -25,6 +33,10 @@
 	// Draining entries get no new work.
 	Draining bool        `cbor:"6,keyasint"`
 	Suspects []Suspicion `cbor:"7,keyasint,omitempty"`
+	// Topology is the newest topology by which the entry starts transactions.
+	Topology TopologyVersion `cbor:"8,keyasint"`
+	// Running lists the groups in which the entry still runs transactions of an older term than its topology names.
+	Running []group.ID `cbor:"9,keyasint,omitempty"`
 }
 
 // Suspicion says that an entry gets no answer from a database.
--- /dev/null
+++ b/lentilwind/roster/announce.go
@@ -0,0 +1,123 @@
+package roster
+
+import (
+	"time"
+
+	"lentilwind.dev/lentilwind/protocol"
+)
+
+// Outcome tells what became of an announcement.
+type Outcome string
+
+// The outcomes of announcements.
+const (
+	OutcomeAccepted Outcome = "accepted"
+	// OutcomeStale marks a repeated or overtaken announcement.
+	OutcomeStale Outcome = "stale"
+	// OutcomeUnknown marks a server that stands in no inventory.
+	OutcomeUnknown Outcome = "unknown"
+)
+
+// Announce takes in what a server says of itself.
+func (r *Roster) Announce(now time.Time, a protocol.Announcement) (protocol.AnnounceReply, Outcome) {
+	id := ServerID{Service: a.Service, Server: a.Server}
+	server, listed := r.servers[id]
+	if !listed {
+		r.announceUnknown(now, id, a)
+		return protocol.AnnounceReply{}, OutcomeUnknown
+	}
+	if r.stale(now, server, a) {
+		return protocol.AnnounceReply{MayStop: a.Incarnation == server.Last.Incarnation && r.mayStop(now, server)}, OutcomeStale
+	}
+	moved := server.Last.Address != a.Address
+	server.Heard, server.Last = now, a
+	if !r.judge(now, server) && moved {
+		r.changes.add(change{server: id})
+	}
+	return protocol.AnnounceReply{MayStop: r.mayStop(now, server)}, OutcomeAccepted
+}
+
+func (r *Roster) announceUnknown(now time.Time, id ServerID, a protocol.Announcement) {
+	server := r.unknown[id]
+	if server == nil {
+		server = &Server{ID: id, DataCentre: a.DataCentre, Health: protocol.HealthUnknown}
+		r.keepUnknown(server)
+	}
+	if !r.stale(now, server, a) {
+		server.Heard, server.Last = now, a
+	}
+}
+
+// stale tells whether the announcement is older than the last accepted one.
+func (r *Roster) stale(now time.Time, server *Server, a protocol.Announcement) bool {
+	last := server.Last
+	if server.Heard.IsZero() || now.Sub(server.Heard) >= r.cfg.ForgetAfter {
+		return false
+	}
+	if a.Incarnation != last.Incarnation {
+		return a.Incarnation < last.Incarnation
+	}
+	return a.Sequence <= last.Sequence
+}
+
+// judge sets the health of a listed server from what was heard last and reports whether it changed.
+func (r *Roster) judge(now time.Time, server *Server) bool {
+	health := protocol.HealthLive
+	switch {
+	case now.Sub(server.Heard) > r.cfg.ServerSilentAfter:
+		health = protocol.HealthSilent
+	case server.Last.Leaving:
+		health = protocol.HealthLeaving
+	}
+	if health == server.Health {
+		return false
+	}
+	if health == protocol.HealthLeaving {
+		server.leavingSince = now
+	}
+	server.Health = health
+	r.changes.add(change{server: server.ID})
+	return true
+}
+
+// mayStop tells whether a leaving server has no work left: it is the primary of nothing, and all entries know so.
+func (r *Roster) mayStop(now time.Time, server *Server) bool {
+	if server.Health != protocol.HealthLeaving || now.Sub(server.leavingSince) < r.cfg.StopGrace {
+		return false
+	}
+	for id, configuration := range r.groups {
+		if id.Service != server.ID.Service {
+			continue
+		}
+		if configuration.Primary == "" || configuration.Primary == server.ID.Server {
+			return false
+		}
+	}
+	return now.Sub(r.moved[server.ID.Service]) >= r.cfg.StopGrace
+}
+
+// EntrySeen takes in an entry's report; an instance that the inventory does not list gets no work.
+func (r *Roster) EntrySeen(now time.Time, report protocol.EntryReport) {
+	dc, listed := r.instances[report.Name]
+	if !listed {
+		return
+	}
+	e := r.entries[report.Name]
+	if e == nil {
+		e = &entry{}
+		r.entries[report.Name] = e
+	}
+	if report.Incarnation < e.report.Incarnation && now.Sub(e.seen) < r.cfg.ForgetAfter {
+		return
+	}
+	health := protocol.HealthLive
+	if report.Draining {
+		health = protocol.HealthLeaving
+	}
+	changed := health != e.health || report.Address != e.report.Address
+	report.DataCentre = dc
+	e.seen, e.health, e.report = now, health, report
+	if changed {
+		r.changes.add(change{entry: report.Name})
+	}
+}
--- /dev/null
+++ b/lentilwind/roster/doc.go
@@ -0,0 +1,2 @@
+// Package roster keeps what control learns of backend servers, entries and groups, and turns it into versioned topologies.
+package roster
--- /dev/null
+++ b/lentilwind/roster/roster.go
@@ -0,0 +1,198 @@
+package roster
+
+import (
+	"slices"
+	"time"
+
+	"lentilwind.dev/lentilwind/group"
+	"lentilwind.dev/lentilwind/inventory"
+	"lentilwind.dev/lentilwind/protocol"
+)
+
+// Config has the times and bounds of a roster.
+type Config struct {
+	// ServerSilentAfter is the time after which a server that does not announce itself gets no new work.
+	ServerSilentAfter time.Duration
+	// EntrySilentAfter is the time after which an entry that does not report gets no new work.
+	EntrySilentAfter time.Duration
+	// ForgetAfter is the time after which a silent server is taken back with any incarnation.
+	ForgetAfter time.Duration
+	// StopGrace is the time that entries need to stop using a server: at least the configuration lease.
+	StopGrace time.Duration
+	// MaxUnknown bounds the servers kept that stand in no inventory.
+	MaxUnknown int
+	// MaxChanges bounds the changes kept for deltas.
+	MaxChanges int
+}
+
+// DefaultConfig returns the times for servers that announce themselves every second.
+func DefaultConfig() Config {
+	return Config{
+		ServerSilentAfter: 3 * time.Second,
+		EntrySilentAfter:  4 * time.Second,
+		ForgetAfter:       time.Minute,
+		StopGrace:         6 * time.Second,
+		MaxUnknown:        64,
+		MaxChanges:        8192,
+	}
+}
+
+// ServerID names one backend server.
+type ServerID struct {
+	Service group.Service
+	Server  group.Server
+}
+
+// Server is what the roster holds of one backend server.
+type Server struct {
+	ID         ServerID
+	DataCentre inventory.DataCentre
+	Health     protocol.Health
+	FailsWith  []group.Server
+	// Heard is the time of the last accepted announcement, which is Last.
+	Heard time.Time
+	Last  protocol.Announcement
+
+	leavingSince time.Time
+}
+
+type entry struct {
+	report protocol.EntryReport
+	health protocol.Health
+	seen   time.Time
+}
+
+// Roster is the roster of one leader of control; it starts anew with each leader and is not safe for concurrent use.
+type Roster struct {
+	cfg     Config
+	started time.Time
+	changes changeLog
+
+	servers map[ServerID]*Server
+	unknown map[ServerID]*Server
+	entries map[inventory.InstanceName]*entry
+	groups  map[group.ID]group.Configuration
+	// moved is the time of the last change of a primary in each service.
+	moved     map[group.Service]time.Time
+	instances map[inventory.InstanceName]inventory.DataCentre
+	// settled is set once every process that is alive has had the time to be heard.
+	settled bool
+}
+
+// New returns the roster of a leader that begins now.
+func New(cfg Config, leaderTerm uint64, now time.Time) *Roster {
+	return &Roster{
+		cfg:       cfg,
+		started:   now,
+		changes:   changeLog{term: leaderTerm, limit: cfg.MaxChanges},
+		servers:   make(map[ServerID]*Server),
+		unknown:   make(map[ServerID]*Server),
+		entries:   make(map[inventory.InstanceName]*entry),
+		groups:    make(map[group.ID]group.Configuration),
+		moved:     make(map[group.Service]time.Time),
+		instances: make(map[inventory.InstanceName]inventory.DataCentre),
+	}
+}
+
+// SetInventory takes in the accepted inventory; a server that it does not list any more gets no work.
+func (r *Roster) SetInventory(now time.Time, inv *inventory.Inventory) {
+	r.setServers(now, inv)
+	r.instances = make(map[inventory.InstanceName]inventory.DataCentre, len(inv.Instances))
+	for _, instance := range inv.Instances {
+		r.instances[instance.Name] = instance.DataCentre
+	}
+	for name := range r.entries {
+		if _, listed := r.instances[name]; !listed {
+			delete(r.entries, name)
+			r.changes.add(change{entry: name})
+		}
+	}
+	for id := range r.groups {
+		if !hasGroup(inv, id) {
+			delete(r.groups, id)
+		}
+	}
+}
+
+func hasGroup(inv *inventory.Inventory, id group.ID) bool {
+	for _, service := range inv.Services {
+		if service.Name == id.Service {
+			return int(id.Slot) < service.Slots
+		}
+	}
+	return false
+}
+
+func (r *Roster) setServers(now time.Time, inv *inventory.Inventory) {
+	listed := make(map[ServerID]inventory.DataCentre)
+	for _, service := range inv.Services {
+		for _, database := range service.Databases {
+			listed[ServerID{Service: service.Name, Server: database.Name}] = database.DataCentre
+		}
+	}
+	for id, server := range r.servers {
+		if _, found := listed[id]; !found {
+			delete(r.servers, id)
+			server.Health = protocol.HealthUnknown
+			r.keepUnknown(server)
+			r.changes.add(change{server: id})
+		}
+	}
+	for id, dc := range listed {
+		r.list(now, id, dc)
+	}
+}
+
+// list adds a server that the inventory names, with what an unknown one of this name has announced.
+func (r *Roster) list(now time.Time, id ServerID, dc inventory.DataCentre) {
+	server := r.servers[id]
+	if server == nil {
+		server = r.unknown[id]
+		delete(r.unknown, id)
+	}
+	if server == nil {
+		server = &Server{ID: id, Health: protocol.HealthSilent}
+	}
+	r.servers[id] = server
+	server.DataCentre = dc
+	if !server.Heard.IsZero() {
+		r.judge(now, server)
+	}
+}
+
+// keepUnknown shows a server that no inventory lists, in place of the one heard longest ago when there are too many.
+func (r *Roster) keepUnknown(server *Server) {
+	if len(r.unknown) >= r.cfg.MaxUnknown {
+		var oldest *Server
+		for _, other := range r.unknown {
+			if oldest == nil || other.Heard.Before(oldest.Heard) {
+				oldest = other
+			}
+		}
+		delete(r.unknown, oldest.ID)
+	}
+	r.unknown[server.ID] = server
+}
+
+// SetGroup publishes the configuration of a group; an older one is ignored.
+func (r *Roster) SetGroup(now time.Time, configuration group.Configuration) {
+	id := configuration.Group
+	old, found := r.groups[id]
+	stale := old.Term > configuration.Term || (old.Term == configuration.Term && old.Primary != "")
+	if found && (stale || old == configuration) {
+		return
+	}
+	r.groups[id] = configuration
+	r.changes.add(change{group: id})
+	r.moved[id.Service] = now
+}
+
+// SetFailsWith publishes which servers tend to vanish together with one.
+func (r *Roster) SetFailsWith(id ServerID, names []group.Server) {
+	server := r.servers[id]
+	if server == nil || slices.Equal(server.FailsWith, names) {
+		return
+	}
+	server.FailsWith = names
+	r.changes.add(change{server: id})
+}
--- /dev/null
+++ b/lentilwind/roster/tick.go
@@ -0,0 +1,127 @@
+package roster
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"lentilwind.dev/lentilwind/group"
+	"lentilwind.dev/lentilwind/inventory"
+	"lentilwind.dev/lentilwind/protocol"
+)
+
+// Compare orders servers by service, then by name.
+func (id ServerID) Compare(other ServerID) int {
+	return cmp.Or(cmp.Compare(id.Service, other.Service), cmp.Compare(id.Server, other.Server))
+}
+
+// Silenced is a server that stopped to announce itself.
+type Silenced struct {
+	ID ServerID
+	// WasLeaving tells that it had asked for no new work, so that its end is no failure.
+	WasLeaving bool
+}
+
+// Tick marks what has gone silent and returns the servers among it.
+func (r *Roster) Tick(now time.Time) []Silenced {
+	var silenced []Silenced
+	for id, server := range r.servers {
+		if server.Heard.IsZero() || server.Health == protocol.HealthSilent {
+			continue
+		}
+		wasLeaving := server.Health == protocol.HealthLeaving
+		if r.judge(now, server) && server.Health == protocol.HealthSilent {
+			silenced = append(silenced, Silenced{ID: id, WasLeaving: wasLeaving})
+		}
+	}
+	for name, e := range r.entries {
+		if e.health != protocol.HealthSilent && now.Sub(e.seen) > r.cfg.EntrySilentAfter {
+			e.health = protocol.HealthSilent
+			r.changes.add(change{entry: name})
+		}
+	}
+	r.settle(now)
+	slices.SortFunc(silenced, func(a, b Silenced) int { return a.ID.Compare(b.ID) })
+	return silenced
+}
+
+// settle makes topologies full once silence since the start tells something.
+func (r *Roster) settle(now time.Time) {
+	patience := max(r.cfg.ServerSilentAfter, r.cfg.EntrySilentAfter)
+	if r.settled || now.Sub(r.started) <= patience {
+		return
+	}
+	r.settled = true
+	r.changes.reset()
+}
+
+// Server returns what is known of a listed server; the result must not be changed.
+func (r *Roster) Server(id ServerID) (Server, bool) {
+	server, found := r.servers[id]
+	if !found {
+		return Server{}, false
+	}
+	return *server, true
+}
+
+// Servers returns the state of all servers, the unknown ones included, ordered by service and name.
+func (r *Roster) Servers() []protocol.ServerState {
+	var states []protocol.ServerState
+	for _, servers := range []map[ServerID]*Server{r.servers, r.unknown} {
+		for _, server := range servers {
+			states = append(states, server.state())
+		}
+	}
+	sortServers(states)
+	return states
+}
+
+// Entries returns the state of all entries, ordered by name.
+func (r *Roster) Entries() []protocol.EntryState {
+	states := make([]protocol.EntryState, 0, len(r.entries))
+	for _, name := range slices.Sorted(maps.Keys(r.entries)) {
+		states = append(states, r.entries[name].state())
+	}
+	return states
+}
+
+// Drained tells whether every live entry starts transactions by at least this topology and has none left of an older term.
+func (r *Roster) Drained(id group.ID, version protocol.TopologyVersion) bool {
+	for _, e := range r.entries {
+		if e.health == protocol.HealthSilent {
+			continue
+		}
+		if !e.report.Topology.Reaches(version) || slices.Contains(e.report.Running, id) {
+			return false
+		}
+	}
+	return true
+}
+
+// EntryReports returns the last report of an entry.
+func (r *Roster) EntryReports(name inventory.InstanceName) (protocol.EntryReport, bool) {
+	e, found := r.entries[name]
+	if !found {
+		return protocol.EntryReport{}, false
+	}
+	return e.report, true
+}
+
+func (s *Server) state() protocol.ServerState {
+	return protocol.ServerState{
+		Service: s.ID.Service, Server: s.ID.Server, Address: s.Last.Address, Health: s.Health, FailsWith: s.FailsWith,
+	}
+}
+
+func (e *entry) state() protocol.EntryState {
+	return protocol.EntryState{
+		Name: e.report.Name, DataCentre: e.report.DataCentre, Address: e.report.Address, Health: e.health,
+	}
+}
+
+func sortServers(states []protocol.ServerState) {
+	slices.SortFunc(states, func(a, b protocol.ServerState) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Server, b.Server))
+	})
+}
