--- a/entry/internal/caller/server.go
+++ b/entry/internal/caller/server.go
@@ -98,8 +98,10 @@
 
 // NewServer returns a server on a listener that it closes.
 func NewServer(cfg Config, listener net.Listener) *Server {
-	return &Server{cfg: cfg, listener: listener, sessions: make(map[backendKey]*caller),
-		retries: queue.NewRetryBudget(retryShare, savedRetries)}
+	return &Server{
+		cfg: cfg, listener: listener, sessions: make(map[backendKey]*caller),
+		retries: queue.NewRetryBudget(retryShare, savedRetries),
+	}
 }
 
 // Address returns the address that callers connect to.
--- a/entry/internal/caller/startup.go
+++ b/entry/internal/caller/startup.go
@@ -259,8 +259,14 @@
 		}, messages...)
 	}
 	for _, parameter := range [...][2]string{
-		{"server_version", serverVersion}, {"server_encoding", "UTF8"}, {"client_encoding", "UTF8"}, {"DateStyle", "ISO, MDY"},
-		{"integer_datetimes", "on"}, {"standard_conforming_strings", "on"}, {"TimeZone", "UTC"}, {"IntervalStyle", "postgres"},
+		{"server_version", serverVersion},
+		{"server_encoding", "UTF8"},
+		{"client_encoding", "UTF8"},
+		{"DateStyle", "ISO, MDY"},
+		{"integer_datetimes", "on"},
+		{"standard_conforming_strings", "on"},
+		{"TimeZone", "UTC"},
+		{"IntervalStyle", "postgres"},
 	} {
 		messages = append(messages, &pgproto3.ParameterStatus{Name: parameter[0], Value: parameter[1]})
 	}
