--- a/bench/fleet/addresses.go
+++ b/bench/fleet/addresses.go
@@ -13,26 +13,24 @@
 // Ports that every process uses on its own loopback address. A relay stands at the public port and
 // the process behind it at the private one.
 const (
-	callersPort          = 6432
-	peerPort             = 7000
-	privatePeerPort      = 7001
-	operatorsPort        = 7100
-	httpPort             = 7200
-	databasePort         = 5432
-	privateDatabasePort  = 5433
-	replicationPort      = 5434
-	privateReplicaPort   = 5435
-	databaseControlPort  = 5436
-	lockPort             = 4999
-	firstBlock           = 20
-	blocks               = 200
-	clientsDataCentre    = 250
-	entryHostOffset      = 10
-	controlHostOffset    = 100
-	databaseHostOffset   = 150
-	zoneOctet            = 2
-	clientsZoneName      = "clients"
-	maxProcessesOfOneRow = 40
+	callersPort         = 6432
+	privateCallersPort  = 6433
+	peerPort            = 7000
+	privatePeerPort     = 7001
+	operatorsPort       = 7100
+	httpPort            = 7200
+	databasePort        = 5432
+	privateDatabasePort = 5433
+	databaseControlPort = 5436
+	lockPort            = 4999
+	firstBlock          = 20
+	blocks              = 200
+	clientsDataCentre   = 250
+	entryHostOffset     = 10
+	controlHostOffset   = 100
+	databaseHostOffset  = 150
+	zoneOctet           = 2
+	clientsZoneName     = "clients"
 )
 
 // ErrNoAddresses tells that every block of loopback addresses is taken.
--- a/bench/fleet/layout.go
+++ b/bench/fleet/layout.go
@@ -108,12 +108,12 @@
 }
 
 // databases lists the databases of all services; those of one service stand in different data centres.
-func (l Layout) databases() []database {
-	var list []database
+func (l Layout) databases() []placedDatabase {
+	var list []placedDatabase
 	for s := range l.Services {
 		for r := range l.Replicas {
 			service := fmt.Sprintf("%s-%d", l.Prefix, s+1)
-			list = append(list, database{
+			list = append(list, placedDatabase{
 				member:  member{fmt.Sprintf("%s-%c", service, 'a'+r), (s + r) % len(l.DataCentres), s*l.Replicas + r},
 				service: group.Service(service),
 				replica: r,
@@ -123,7 +123,8 @@
 	return list
 }
 
-type database struct {
+// placedDatabase is the place of one database of the layout.
+type placedDatabase struct {
 	member
 	service group.Service
 	// replica numbers the databases of one service.
--- a/lentilctl/internal/plan/plan.go
+++ b/lentilctl/internal/plan/plan.go
@@ -40,6 +40,15 @@
 	Operators string `json:"operators"`
 	// HTTP serves health and metrics.
 	HTTP string `json:"http"`
+	// Listen holds addresses to listen on where they differ from those that others dial.
+	Listen Listen `json:"listen,omitzero"`
+}
+
+// Listen is the addresses behind a translation of addresses; empty ones are as others dial them.
+type Listen struct {
+	Callers   string `json:"callers,omitempty"`
+	Peer      string `json:"peer,omitempty"`
+	Operators string `json:"operators,omitempty"`
 }
 
 // Entry is one entry process with its addresses, each an IP and port.
@@ -52,6 +61,8 @@
 	Peer string `json:"peer"`
 	// HTTP serves health, metrics and announcements.
 	HTTP string `json:"http"`
+	// Listen holds addresses to listen on where they differ from those that others dial.
+	Listen Listen `json:"listen,omitzero"`
 }
 
 // Read reads a plan file; a refused one gives a *jsonc.Error with every problem.
@@ -94,6 +105,7 @@
 		problems = append(problems, checkAddresses(seen, pointer, map[string]string{
 			"peer": c.Peer, "operators": c.Operators, "http": c.HTTP,
 		})...)
+		problems = append(problems, checkListen(pointer, c.Listen)...)
 	}
 	for i, e := range p.Entries {
 		pointer := fmt.Sprintf("/entries/%d", i)
@@ -101,6 +113,7 @@
 		problems = append(problems, checkAddresses(seen, pointer, map[string]string{
 			"callers": e.Callers, "peer": e.Peer, "http": e.HTTP,
 		})...)
+		problems = append(problems, checkListen(pointer, e.Listen)...)
 	}
 	for i, network := range p.PlainTextNetworks {
 		if _, err := netip.ParsePrefix(network); err != nil {
@@ -113,6 +126,16 @@
 	return problems
 }
 
+func checkListen(pointer string, l Listen) []jsonc.Problem {
+	var problems []jsonc.Problem
+	for field, address := range map[string]string{"callers": l.Callers, "peer": l.Peer, "operators": l.Operators} {
+		if address != "" {
+			problems = append(problems, settings.CheckAddress(pointer+"/listen/"+field, address)...)
+		}
+	}
+	return problems
+}
+
 func checkUnique(seen map[string]string, pointer, what string) []jsonc.Problem {
 	if other, found := seen[what]; found {
 		return []jsonc.Problem{{Pointer: pointer, Message: what + " stands twice, first at " + other, Remedy: "use another one"}}
--- a/lentilctl/internal/plan/settings.go
+++ b/lentilctl/internal/plan/settings.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"cmp"
 	"path/filepath"
 
 	"lentilwind.dev/instance/identity"
@@ -67,9 +68,8 @@
 	return writeJSON(filepath.Join(folder, settingsFile), "Settings of lentil-entry; paths are relative to this file.", struct {
 		Name              inventory.InstanceName `json:"name"`
 		DataCentre        inventory.DataCentre   `json:"dataCentre"`
-		Callers           string                 `json:"callers"`
-		Peer              string                 `json:"peer"`
-		HTTP              string                 `json:"http"`
+		Listen            entryListen            `json:"listen"`
+		Advertise         string                 `json:"advertise,omitempty"`
 		Control           []string               `json:"control"`
 		Identity          identity.Files         `json:"identity"`
 		SessionSecretFile string                 `json:"sessionSecretFile"`
@@ -77,11 +77,28 @@
 		EventsFile        string                 `json:"eventsFile"`
 		LogLevel          string                 `json:"logLevel"`
 	}{
-		e.Name, e.DataCentre, e.Callers, e.Peer, e.HTTP, control, ownIdentity(), sessionKeyFile, p.PlainTextNetworks,
+		e.Name, e.DataCentre,
+		entryListen{cmp.Or(e.Listen.Callers, e.Callers), cmp.Or(e.Listen.Peer, e.Peer), e.HTTP},
+		advertised(e.Peer, e.Listen.Peer), control, ownIdentity(), sessionKeyFile, p.PlainTextNetworks,
 		string(e.Name) + ".events.jsonl", p.LogLevel,
 	})
 }
 
+// entryListen is the addresses that an entry listens on.
+type entryListen struct {
+	Callers string `json:"callers"`
+	Peers   string `json:"peers"`
+	HTTP    string `json:"http"`
+}
+
+// advertised returns the dialled address where it differs from the one listened on.
+func advertised(dialled, listened string) string {
+	if listened == "" {
+		return ""
+	}
+	return dialled
+}
+
 func writeClientSettings(folder string, p *Plan) error {
 	addresses := make([]string, len(p.Control))
 	for i, c := range p.Control {
