--- a/entry/internal/caller/harness_test.go
+++ b/entry/internal/caller/harness_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -18,6 +20,8 @@
 	"lentilwind.dev/entry/internal/pool"
 	"lentilwind.dev/entry/internal/positions"
 	"lentilwind.dev/instance/events"
+	"lentilwind.dev/instance/identity"
+	"lentilwind.dev/instance/link"
 	"lentilwind.dev/instance/logs"
 	"lentilwind.dev/lentilwind/group"
 	"lentilwind.dev/lentilwind/hlc"
@@ -45,6 +49,8 @@
 	count     uint64
 	secret    []byte
 	limits    caller.Limits
+	// forward makes entries send every transaction to a home.
+	forward bool
 }
 
 func serverName(i int) group.Server { return group.Server(fmt.Sprintf("db-%d", i)) }
@@ -170,7 +176,7 @@
 	e := &entry{pools: pool.NewSet()}
 	f.configure(e.pools)
 	e.server = caller.NewServer(caller.Config{
-		Directory: f.directory, Positions: keeper, Executor: executor.NewLocal(e.pools), Signer: signer,
+		Directory: f.directory, Positions: keeper, Executor: f.newExecutor(e.pools), Signer: signer,
 		PlainText: []netip.Prefix{netip.MustParsePrefix("127.0.0.0/8")}, Limits: f.limits, Events: recorder, Log: logs.Discard(),
 	}, listener)
 	e.url = "postgres://%s:%s@" + listener.Addr().String() + "/" + testService + "?sslmode=disable"
@@ -190,6 +196,67 @@
 	return e
 }
 
+// newExecutor returns an executor over the pools, or one that reaches them by way of another entry.
+func (f *fleet) newExecutor(pools *pool.Set) executor.Executor {
+	local := executor.NewLocal(pools)
+	if !f.forward {
+		return local
+	}
+	authority, err := identity.NewAuthority("test", time.Now())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	home, sender := f.newEndpoint(authority, "entry-2"), f.newEndpoint(authority, "entry-1")
+	home.HandleStream(protocol.KindTransaction, executor.NewHome(local).ServeStream)
+	return executor.NewRouter(local, executor.NewRemote(sender), homes{home.Address()})
+}
+
+type homes []netip.AddrPort
+
+func (h homes) Homes(_ group.Server, dst []netip.AddrPort) ([]netip.AddrPort, bool) {
+	return append(dst, h...), false
+}
+
+func (f *fleet) newEndpoint(authority identity.Pair, name string) *link.Endpoint {
+	f.t.Helper()
+	signer, err := identity.LoadAuthority(authority)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	pair, err := signer.Issue(name, identity.RoleEntry, nil, time.Now(), time.Hour)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	dir := f.t.TempDir()
+	files := identity.Files{Authority: filepath.Join(dir, "a"), Certificate: filepath.Join(dir, "c"), Key: filepath.Join(dir, "k")}
+	for path, data := range map[string][]byte{files.Authority: authority.Certificate, files.Certificate: pair.Certificate, files.Key: pair.Key} {
+		if err := os.WriteFile(path, data, 0o600); err != nil {
+			f.t.Fatal(err)
+		}
+	}
+	source, err := identity.Load(files)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	endpoint, err := link.Listen(link.Config{
+		Listen: netip.MustParseAddrPort("127.0.0.1:0"), Name: inventory.InstanceName(name), Incarnation: 1,
+		Identity: source, Clock: &hlc.Clock{}, Log: logs.Discard(),
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- endpoint.Serve(ctx) }()
+	f.t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			f.t.Error(err)
+		}
+	})
+	return endpoint
+}
+
 func (f *fleet) configure(pools *pool.Set) {
 	var targets []pool.Target
 	for i, db := range f.databases {
