Relay statements without allocations

Cause: each relayed statement took 24 to 32 allocations: contexts, the parsing of statuses, the memory of a request. Change: deadlines in place of contexts, a status parser for bytes, the request's memory in the pooled buffers.

--- a/entry/internal/caller/buffers.go
+++ b/entry/internal/caller/buffers.go
@@ -14,6 +14,11 @@
 	batch   []byte
 	answer  []byte
 	request relay.Request
+
+	ticket   ticket
+	target   target
+	exchange exchange
+	patience patience
 }
 
 var pooledBuffers = sync.Pool{New: func() any { return &buffers{} }}
@@ -25,6 +30,9 @@
 	b.answer = keep(b.answer)
 	b.request.Data = keep(b.request.Data)
 	b.request.Reset()
+	view := b.ticket.view.Members[:0]
+	b.ticket, b.target, b.exchange = ticket{}, target{}, exchange{}
+	b.ticket.view.Members = view
 	pooledBuffers.Put(b)
 }
 
--- a/entry/internal/caller/choose.go
+++ b/entry/internal/caller/choose.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"context"
 	"time"
 
 	"lentilwind.dev/entry/internal/outcome"
@@ -143,8 +142,8 @@
 	if known {
 		return floor, nil
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), t.deadline)
-	defer cancel()
+	ctx := c.buffers.patience.until(t.deadline)
+	defer c.buffers.patience.stop()
 	floor, err := c.server.cfg.Positions.SessionFloor(ctx, t.id, c.connected)
 	if err != nil {
 		return group.Floor{}, outcome.At(outcome.ReasonBehind, err)
--- a/entry/internal/caller/exchange.go
+++ b/entry/internal/caller/exchange.go
@@ -1,13 +1,13 @@
 package caller
 
 import (
-	"context"
 	"time"
 
 	"lentilwind.dev/entry/internal/executor"
 	"lentilwind.dev/entry/internal/outcome"
 	"lentilwind.dev/entry/internal/relay"
 	"lentilwind.dev/lentilwind/group"
+	"lentilwind.dev/lentilwind/route"
 	"lentilwind.dev/lentilwind/session"
 )
 
@@ -203,8 +203,8 @@
 	if position.Sent.IsZero() || position.Status.Term != opening.Term {
 		return outcome.At(outcome.ReasonNotConfirmed, nil)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), x.caller.server.cfg.Limits.ConfirmTimeout)
-	defer cancel()
+	ctx := x.caller.patience()
+	defer x.caller.buffers.patience.stop()
 	var err error
 	if x.wrote {
 		err = x.caller.server.cfg.Positions.Confirm(ctx, opening.Group, opening.Term, position.Status.Applied)
@@ -230,8 +230,8 @@
 	if !x.closed {
 		position = x.tx.Position()
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), x.caller.server.cfg.Limits.ConfirmTimeout)
-	defer cancel()
+	ctx := x.caller.patience()
+	defer x.caller.buffers.patience.stop()
 	err := x.caller.server.cfg.Positions.Current(ctx, opening.Group, opening.Term, position.Status.Applied, x.sent)
 	if err != nil {
 		return outcome.At(outcome.ReasonBehind, err)
@@ -258,6 +258,7 @@
 	c.begin = ""
 	if c.tx == nil {
 		c.tx = &block{tx: x.tx, ticket: *x.ticket, where: *x.where}
+		c.tx.ticket.view = route.View{}
 	}
 	c.tx.wrote = x.wrote
 	return c.write(c.buffers.answer), nil
--- a/entry/internal/caller/run.go
+++ b/entry/internal/caller/run.go
@@ -12,16 +12,16 @@
 
 // place runs a request outside of an open block, or the first one of a block.
 func (c *caller) place() bool {
-	var t ticket
-	if failure := c.admit(&t, &c.buffers.request); failure != nil {
+	t := &c.buffers.ticket
+	if failure := c.admit(t, &c.buffers.request); failure != nil {
 		return c.refuse(failure)
 	}
 	for {
-		alive, failure := c.attempt(&t)
+		alive, failure := c.attempt(t)
 		if failure == nil {
 			return alive
 		}
-		if !c.mayRetry(&t, failure) {
+		if !c.mayRetry(t, failure) {
 			return c.refuse(failure)
 		}
 	}
@@ -63,21 +63,20 @@
 
 // attempt runs a request once; a failure means that nothing was relayed.
 func (c *caller) attempt(t *ticket) (alive bool, failure *outcome.Failure) {
-	where, failure := c.choose(t)
-	if failure != nil {
+	where := &c.buffers.target
+	if *where, failure = c.choose(t); failure != nil {
 		return false, failure
 	}
 	if !c.granted(c.server.cfg.Directory.Snapshot()) {
 		return false, outcome.At(outcome.ReasonKeyWithdrawn, nil)
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), t.deadline)
-	tx, err := c.server.cfg.Executor.Open(ctx, &where.opening)
-	cancel()
+	tx, err := c.server.cfg.Executor.Open(context.Background(), &where.opening)
 	if err != nil {
 		return false, outcome.Of(err)
 	}
 	c.setRunning(tx)
-	x := exchange{caller: c, tx: tx, where: &where, ticket: t, sent: time.Now()}
+	x := &c.buffers.exchange
+	*x = exchange{caller: c, tx: tx, where: where, ticket: t, sent: time.Now()}
 	if err := tx.Send(c.buffers.request.Data); err != nil {
 		x.close()
 		return false, outcome.Of(err)
@@ -104,12 +103,13 @@
 		return c.refuse(outcome.At(outcome.ReasonNoLease, nil))
 	}
 	c.setRunning(b.tx)
-	x := exchange{caller: c, tx: b.tx, where: &b.where, ticket: &b.ticket, sent: time.Now(), inBlock: true, wrote: b.wrote}
+	x := &c.buffers.exchange
+	*x = exchange{caller: c, tx: b.tx, where: &b.where, ticket: &b.ticket, sent: time.Now(), inBlock: true, wrote: b.wrote}
 	if err := b.tx.Send(c.buffers.request.Data); err != nil {
-		return c.blockLost(&x, outcome.Of(err))
+		return c.blockLost(x, outcome.Of(err))
 	}
 	if failure := x.receive(); failure != nil {
-		return c.blockLost(&x, failure)
+		return c.blockLost(x, failure)
 	}
 	alive, failure := x.finish()
 	if failure == nil {
--- a/entry/internal/caller/server.go
+++ b/entry/internal/caller/server.go
@@ -15,7 +15,6 @@
 	"lentilwind.dev/entry/internal/directory"
 	"lentilwind.dev/entry/internal/executor"
 	"lentilwind.dev/instance/events"
-	"lentilwind.dev/lentilwind/confirm"
 	"lentilwind.dev/lentilwind/group"
 	"lentilwind.dev/lentilwind/inventory"
 	"lentilwind.dev/lentilwind/queue"
@@ -28,7 +27,6 @@
 	View(id group.ID, view *route.View) bool
 	Changed(id group.ID) <-chan struct{}
 	Observe(service group.Service, server group.Server, status group.Status, sent time.Time)
-	Status(id group.ID, server group.Server) (confirm.Sample, bool)
 	Confirm(ctx context.Context, id group.ID, term group.Term, position group.Position) error
 	Current(ctx context.Context, id group.ID, term group.Term, position group.Position, since time.Time) error
 	SessionFloor(ctx context.Context, id group.ID, since time.Time) (group.Floor, error)
--- a/entry/internal/caller/ticket.go
+++ b/entry/internal/caller/ticket.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"context"
 	"time"
 
 	"lentilwind.dev/entry/internal/outcome"
@@ -42,7 +41,7 @@
 	snapshot := c.server.cfg.Directory.Snapshot()
 	hints := route.Hints{}
 	if relay.HasComment(r.First) {
-		hints = route.ParseComment(string(r.First))
+		hints = route.ParseComment(relay.View(r.First))
 	}
 	if hints.Route == "" {
 		hints.Route = c.route
@@ -79,8 +78,8 @@
 	if quota == nil || c.server.cfg.Directory.Snapshot().Workspace(c.workspace) == nil {
 		return nil
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), t.deadline)
-	defer cancel()
+	ctx := c.buffers.patience.until(t.deadline)
+	defer c.buffers.patience.stop()
 	if quota.Take(ctx, c.workspace) {
 		return nil
 	}
--- a/entry/internal/executor/executor.go
+++ b/entry/internal/executor/executor.go
@@ -13,6 +13,8 @@
 // Executor opens transactions.
 type Executor interface {
 	// Open waits for a connection; its errors are *outcome.Failure and mean that nothing was sent.
+	//
+	// The wait is bounded by the opening's QueueFor; the context only ends it early.
 	Open(ctx context.Context, opening *protocol.Forward) (Transaction, error)
 }
 
--- a/entry/internal/executor/first.go
+++ b/entry/internal/executor/first.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"context"
 	"errors"
 	"time"
 
@@ -84,9 +85,7 @@
 func (t *local) reconnect() error {
 	t.pool.Release(t.detach(), false)
 	t.broken = false
-	ctx, cancel := contextFor(t.opening.QueueFor)
-	defer cancel()
-	return t.acquire(ctx)
+	return t.acquire(context.Background())
 }
 
 // attempt tries one connection and tells whether any of the batch was sent.
--- a/entry/internal/executor/local.go
+++ b/entry/internal/executor/local.go
@@ -57,8 +57,7 @@
 
 // acquire gets a connection within the time that the opening allows.
 func (t *local) acquire(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, t.opening.QueueFor)
-	defer cancel()
+	t.want.Deadline = time.Now().Add(t.opening.QueueFor)
 	conn, err := t.pool.Acquire(ctx, &t.want)
 	if err == nil {
 		t.mu.Lock()
--- a/entry/internal/executor/transaction.go
+++ b/entry/internal/executor/transaction.go
@@ -275,7 +275,7 @@
 	if err != nil {
 		return true
 	}
-	status, err := group.ParseStatus(string(text))
+	status, err := group.ParseStatus(text)
 	if err == nil && status.Slot == t.scope.Slot {
 		t.position = Position{Status: status, Sent: t.sent}
 	}
--- a/entry/internal/pool/pool.go
+++ b/entry/internal/pool/pool.go
@@ -24,6 +24,8 @@
 type Want struct {
 	Scope Scope
 	Class Class
+	// Deadline bounds the wait.
+	Deadline time.Time
 }
 
 // Pool is the connections of an entry to one server.
@@ -55,6 +57,8 @@
 	if err != nil || conn != nil {
 		return conn, err
 	}
+	ctx, cancel := context.WithDeadline(ctx, want.Deadline)
+	defer cancel()
 	return p.dial(ctx)
 }
 
@@ -76,31 +80,34 @@
 			return nil, nil
 		}
 	}
-	w, err := p.waiting.add(ctx, want, time.Now())
+	w, err := p.waiting.add(want, time.Now())
 	p.mu.Unlock()
 	if err != nil {
 		return nil, err
 	}
-	return p.await(ctx, w)
+	return p.await(ctx, w, want.Deadline)
 }
 
-func (p *Pool) await(ctx context.Context, w *waiter) (*Conn, error) {
+func (p *Pool) await(ctx context.Context, w *waiter, deadline time.Time) (*Conn, error) {
+	clock := time.NewTimer(time.Until(deadline))
+	defer clock.Stop()
 	select {
 	case g := <-w.granted:
 		return g.conn, g.err
 	case <-ctx.Done():
+	case <-clock.C:
 	}
 	p.mu.Lock()
 	removed := p.waiting.remove(w)
 	p.mu.Unlock()
 	if removed {
-		return nil, ctx.Err()
+		return nil, ErrRefused
 	}
 	g := <-w.granted
 	if g.err == nil {
 		p.Release(g.conn, g.conn != nil)
 	}
-	return nil, ctx.Err()
+	return nil, ErrRefused
 }
 
 // takeIdle prefers a connection with the same scope, then one of the same workspace, then the one used last.
--- a/entry/internal/pool/waiters.go
+++ b/entry/internal/pool/waiters.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"context"
 	"time"
 
 	"lentilwind.dev/lentilwind/inventory"
@@ -19,8 +18,6 @@
 const (
 	maxWaiting = 2_000
 	ageBound   = 2 * time.Second
-	// defaultWait bounds the wait of a transaction whose context has no deadline.
-	defaultWait = 30 * time.Second
 )
 
 // priorities is the order of the classes.
@@ -62,14 +59,10 @@
 func (q *waiters) len() int { return q.queue.Len() }
 
 // add lets a transaction wait, or refuses it at once when its turn would come too late.
-func (q *waiters) add(ctx context.Context, want *Want, now time.Time) (*waiter, error) {
-	deadline, found := ctx.Deadline()
-	if !found {
-		deadline = now.Add(defaultWait)
-	}
+func (q *waiters) add(want *Want, now time.Time) (*waiter, error) {
 	w := &waiter{granted: make(chan grant, 1)}
 	pushed := q.queue.Push(queue.Request[inventory.WorkspaceName, *waiter]{
-		Key: want.Class.Workspace, Weight: want.Class.Weight, Class: classOf(want.Class.Priority), Deadline: deadline, Value: w,
+		Key: want.Class.Workspace, Weight: want.Class.Weight, Class: classOf(want.Class.Priority), Deadline: want.Deadline, Value: w,
 	}, now)
 	if pushed.Evicted != nil {
 		pushed.Evicted.Value.refuse(ErrRefused)
--- a/entry/internal/relay/keyword.go
+++ b/entry/internal/relay/keyword.go
@@ -1,6 +1,9 @@
 package relay
 
-import "bytes"
+import (
+	"bytes"
+	"unsafe"
+)
 
 // Keyword returns the first word of a statement in the caller's spelling and what follows it; comments are skipped.
 func Keyword(text []byte) (word, rest []byte) {
@@ -94,3 +97,6 @@
 	}
 	return false
 }
+
+// View returns bytes as text without a copy; the text is valid as long as the bytes are not changed.
+func View(data []byte) string { return unsafe.String(unsafe.SliceData(data), len(data)) }
--- a/lentilwind/group/status.go
+++ b/lentilwind/group/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 )
 
@@ -29,21 +30,69 @@
 	return fmt.Sprintf(statusFormat, s.Slot, s.Role, s.Term, s.Fenced, s.Received, s.Applied, s.Age.Milliseconds())
 }
 
-// ParseStatus reads a status in the format of String.
-func ParseStatus(text string) (Status, error) {
-	var s Status
-	var ageMs int64
-	_, err := fmt.Sscanf(text, statusFormat, &s.Slot, &s.Role, &s.Term, &s.Fenced, &s.Received, &s.Applied, &ageMs)
-	if err != nil {
-		return Status{}, fmt.Errorf("group: status %q: %w", text, err)
+// ParseStatus reads a status in the format of String, from text or bytes.
+func ParseStatus[T string | []byte](text T) (Status, error) {
+	f := fields[T]{rest: text}
+	s := Status{Slot: Slot(f.number("slot=", math.MaxUint16))}
+	s.Role = f.role()
+	s.Term = Term(f.number(" term=", math.MaxUint64))
+	s.Fenced = Term(f.number(" fenced=", math.MaxUint64))
+	s.Received = Position(f.number(" received=", math.MaxUint64))
+	s.Applied = Position(f.number(" applied=", math.MaxUint64))
+	s.Age = time.Duration(f.number(" ageMs=", uint64(math.MaxInt64/time.Millisecond))) * time.Millisecond
+	if f.failed || len(f.rest) > 0 {
+		return Status{}, fmt.Errorf("group: malformed status %q", string(text))
 	}
-	if s.Role != RolePrimary && s.Role != RoleReplica {
-		return Status{}, fmt.Errorf("group: status %q: unknown role", text)
-	}
-	s.Age = time.Duration(ageMs) * time.Millisecond
 	return s, nil
 }
 
+// fields takes the fields of a status off its text and remembers a failure.
+type fields[T string | []byte] struct {
+	rest   T
+	failed bool
+}
+
+func (f *fields[T]) skip(label string) bool {
+	if len(f.rest) < len(label) || string(f.rest[:len(label)]) != label {
+		return false
+	}
+	f.rest = f.rest[len(label):]
+	return true
+}
+
+func (f *fields[T]) role() Role {
+	switch {
+	case f.skip(" role=primary"):
+		return RolePrimary
+	case f.skip(" role=replica"):
+		return RoleReplica
+	}
+	f.failed = true
+	return ""
+}
+
+func (f *fields[T]) number(label string, limit uint64) uint64 {
+	const base = 10
+	if !f.skip(label) {
+		f.failed = true
+		return 0
+	}
+	var value uint64
+	digits := 0
+	for digits < len(f.rest) && '0' <= f.rest[digits] && f.rest[digits] <= '9' {
+		digit := uint64(f.rest[digits] - '0')
+		if value > (limit-digit)/base {
+			f.failed = true
+			return 0
+		}
+		value = value*base + digit
+		digits++
+	}
+	f.failed = f.failed || digits == 0
+	f.rest = f.rest[digits:]
+	return value
+}
+
 // Floor is the least state of a group that a session may be shown.
 type Floor struct {
 	Term     Term     `json:"term" cbor:"1,keyasint"`
--- a/lentilwind/route/choose.go
+++ b/lentilwind/route/choose.go
@@ -38,6 +38,9 @@
 	// Current is the newest time at which the term is known to have been the newest one.
 	Current time.Time
 	Members []Member
+
+	// options is the memory of a choice.
+	options Options
 }
 
 // Request is what the choice for a read depends on.
@@ -75,7 +78,8 @@
 
 // Choose decides where a read runs.
 func Choose[P Policy](policy P, view *View, request *Request, now time.Time) Choice {
-	options := Options{Waited: request.Waited}
+	view.options = Options{Waited: request.Waited}
+	options := &view.options
 	for i := range view.Members {
 		m := &view.Members[i]
 		if m.Server == view.Primary {
@@ -92,7 +96,7 @@
 		}
 		options.addLagging(lag(view, m, request, now))
 	}
-	return policy.decide(&options, now)
+	return policy.decide(options, now)
 }
 
 // FreshAt returns the time of the newest primary state that a read on the member is known to show all of.
