--- /dev/null
+++ b/bench/checker/checker_test.go
@@ -0,0 +1,217 @@
+package checker_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"lentilwind.dev/bench/checker"
+	"lentilwind.dev/bench/history"
+	"lentilwind.dev/lentilwind/group"
+	"lentilwind.dev/lentilwind/jsonc"
+)
+
+var start = time.Date(2030, 1, 1, 5, 0, 0, 0, time.UTC)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func request(id, session string, ms int) history.Request {
+	return history.Request{
+		ID: id, Workspace: "w1", Service: "s", Session: session, Entry: "e1", Path: history.PathEntry,
+		Route: "lookup", Key: "k", Scheduled: at(ms), Invoked: at(ms), Completed: at(ms + 2), Outcome: history.OutcomeOK,
+	}
+}
+
+func write(id string, ms int) history.Request {
+	r := request(id, "s1", ms)
+	r.Route, r.Write = "order", true
+	return r
+}
+
+func read(id string, ms int, staleness time.Duration, seen ...string) history.Request {
+	r := request(id, "s1", ms)
+	r.MaxStaleness = jsonc.Duration(staleness)
+	for _, id := range seen {
+		r.Rows = append(r.Rows, history.Row{ID: id, Key: "k", Workspace: "w1"})
+	}
+	return r
+}
+
+func commit(id, transaction string, term group.Term, ms int) history.Database {
+	return history.Database{
+		Time: at(ms), Service: "s", Server: "a", Kind: history.DatabaseCommitted, Workspace: "w1", Term: term,
+		Transaction: transaction, Changes: []history.Change{{Table: "journal", ID: id, Key: "k"}},
+	}
+}
+
+func lookupOn(role group.Role) history.Database {
+	return history.Database{
+		Kind: history.DatabaseStatement, Workspace: "w1", Role: role,
+		Statement: "/*route='lookup'*/ SELECT id FROM journal", Time: at(2000),
+	}
+}
+
+// clean is a run in which every promise holds.
+func clean() *checker.Run {
+	other := read("r2", 1000, 500*time.Millisecond, "w-1")
+	other.Session = "s2"
+	return &checker.Run{
+		Requests: []history.Request{
+			write("w-1", 0), write("w-2", 900), read("r1", 950, 500*time.Millisecond, "w-1", "w-2"), other,
+		},
+		Databases: []history.Database{commit("w-1", "t1", 1, 1), commit("w-2", "t2", 1, 901), lookupOn(group.RoleReplica)},
+		Final: []history.Final{{Service: "s", Workspace: "w1", Rows: []history.Row{
+			{ID: "w-1", Key: "k", Workspace: "w1"}, {ID: "w-2", Key: "k", Workspace: "w1"},
+		}}},
+		Quotas: []checker.Quota{{Workspace: "w1", Rate: 10, Burst: 3, Weight: 1}},
+		Keys:   []string{"secret"},
+	}
+}
+
+func TestCleanRunBreaksNothing(t *testing.T) {
+	s := checker.Check(clean())
+	if s.Broken() != 0 || len(s.Findings) != 0 {
+		t.Errorf("a clean run breaks %+v", s.Findings)
+	}
+	if s.Requests != 4 || s.ReplicaReadShare != 1 || s.WorstWorkspaceShare != 1 || s.WrongfulRefusals != 0 {
+		t.Errorf("the figures are wrong: %+v", s)
+	}
+}
+
+// promises are the counts of a summary that must be 0.
+type promises struct{ Lost, Doubled, Stale, Mixed, Leaks, Over, FalseNotRun int }
+
+func TestBrokenRunsAreCaught(t *testing.T) {
+	tests := map[string]struct {
+		spoil func(*checker.Run)
+		want  promises
+	}{
+		"an acknowledged write is missing": {func(r *checker.Run) { r.Final[0].Rows = r.Final[0].Rows[:1] }, promises{Lost: 1}},
+		"a row stands twice": {func(r *checker.Run) {
+			r.Final[0].Rows = append(r.Final[0].Rows, r.Final[0].Rows[0])
+		}, promises{Doubled: 1}},
+		"a write ran again after its first run was cut off": {func(r *checker.Run) {
+			r.Databases = append(r.Databases, commit("w-1", "t9", 2, 950))
+		}, promises{Doubled: 1}},
+		"a session misses its own write": {func(r *checker.Run) {
+			r.Requests[2].Rows = r.Requests[2].Rows[:1]
+		}, promises{Stale: 1}},
+		"a roaming session misses its own write": {func(r *checker.Run) {
+			r.Requests[2].Rows = r.Requests[2].Rows[:1]
+			r.Requests[2].Entry = "e2"
+		}, promises{Stale: 1}},
+		"a read is staler than its route allows": {func(r *checker.Run) { r.Requests[3].Rows = nil }, promises{Stale: 1}},
+		"a read at the primary is stale":         {func(r *checker.Run) { r.Requests[3].MaxStaleness = 0 }, promises{Stale: 1}},
+		"a row of another workspace is shown":    {func(r *checker.Run) { r.Requests[2].Rows[0].Workspace = "w2" }, promises{Mixed: 1}},
+		"an answer belongs to another request":   {func(r *checker.Run) { r.Requests[2].Rows[0].Key = "k2" }, promises{Mixed: 1}},
+		"a write ran for another workspace":      {func(r *checker.Run) { r.Databases[0].Workspace = "w2" }, promises{Mixed: 1}},
+		"a write ran in another slot":            {func(r *checker.Run) { r.Databases[0].Slot = 1 }, promises{Mixed: 1}},
+		"a key stands in a statement":            {func(r *checker.Run) { r.Databases[2].Statement += " -- secret" }, promises{Leaks: 1}},
+		"a key stands in a parameter": {func(r *checker.Run) {
+			r.Databases[2].Parameters = map[string]string{"options": "secret"}
+		}, promises{Leaks: 1}},
+		"a key stood in the bytes": {func(r *checker.Run) {
+			r.Databases = append(r.Databases, history.Database{Kind: history.DatabaseFound, Text: "secret"})
+		}, promises{Leaks: 1}},
+		"a window holds too many requests": {func(r *checker.Run) {
+			for i := range 4 {
+				r.Requests = append(r.Requests, read(fmt.Sprint("x", i), 960, time.Second, "w-1", "w-2"))
+			}
+		}, promises{Over: 3}},
+		"databases ran more than callers sent": {func(r *checker.Run) {
+			for range 14 {
+				r.Databases = append(r.Databases, history.Database{
+					Kind: history.DatabaseRolledBack, Workspace: "w1", Time: at(950),
+				})
+			}
+		}, promises{Over: 4}},
+		"not run was said of a write that ran": {func(r *checker.Run) {
+			r.Requests[1].Outcome, r.Requests[1].Code = history.OutcomeNotRun, "LW001"
+		}, promises{FalseNotRun: 1}},
+		"a refusal by quota stands in the journal": {func(r *checker.Run) {
+			r.Requests[1].Outcome = history.OutcomeQuota
+			r.Databases = r.Databases[:1]
+		}, promises{FalseNotRun: 1}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			run := clean()
+			test.spoil(run)
+			s := checker.Check(run)
+			got := promises{
+				s.LostWrites, s.DoubledWrites, s.StaleReads, s.MixedWorkspaces, s.KeyLeaks, s.OverQuota, s.FalseNotRun,
+			}
+			if diff := cmp.Diff(test.want, got); diff != "" {
+				t.Errorf("%s\n%+v", diff, s.Findings)
+			}
+		})
+	}
+}
+
+func TestReplicaReadShareCountsReadsThatMayBeStale(t *testing.T) {
+	run := clean()
+	run.Databases = append(run.Databases, lookupOn(group.RolePrimary), lookupOn(group.RolePrimary), lookupOn(group.RoleReplica))
+	if got := checker.Check(run).ReplicaReadShare; got != 0.5 {
+		t.Errorf("got %v, want 0.5", got)
+	}
+}
+
+func TestWrongfulRefusals(t *testing.T) {
+	run := clean()
+	refused := write("w-3", 2000)
+	refused.Outcome = history.OutcomeQuota
+	run.Requests = append(run.Requests, refused)
+	if got := checker.Check(run).WrongfulRefusals; got != 1 {
+		t.Errorf("a refusal inside the quota: got %d, want 1", got)
+	}
+	run = clean()
+	refused.Invoked, refused.Completed = at(1000), at(1001)
+	run.Requests = append(run.Requests, refused)
+	if got := checker.Check(run).WrongfulRefusals; got != 0 {
+		t.Errorf("a refusal over the quota: got %d, want 0", got)
+	}
+}
+
+func TestFailoverGapIsThatOfAcknowledgedWrites(t *testing.T) {
+	run := clean()
+	run.Databases[1].Term = 2
+	s := checker.Check(run)
+	want := []checker.Failover{{Group: group.ID{Service: "s"}, From: 1, To: 2, GapMs: 900, At: at(2)}}
+	if diff := cmp.Diff(want, s.Failovers); diff != "" || s.FailoverGapMs != 900 {
+		t.Errorf("the gap is %d ms: %s", s.FailoverGapMs, diff)
+	}
+}
+
+func TestWorstShareNamesTheStarvedWorkspace(t *testing.T) {
+	run := clean()
+	run.Quotas = append(run.Quotas, checker.Quota{Workspace: "w2", Rate: 100, Burst: 100, Weight: 1})
+	for i := range 4 {
+		r := read(fmt.Sprint("y", i), 950, time.Second)
+		r.Workspace, r.Rows = "w2", nil
+		if i > 0 {
+			r.Outcome = history.OutcomeNotRun
+		}
+		run.Requests = append(run.Requests, r)
+	}
+	if got := checker.Check(run).WorstWorkspaceShare; got != 0.4 {
+		t.Errorf("got %v, want 0.4: one request served where 2.5 were fair", got)
+	}
+}
+
+func TestAddedLatencyComparesProbes(t *testing.T) {
+	run := clean()
+	for i := range 100 {
+		entry, direct := read(fmt.Sprint("pe", i), 5000+i, time.Second, "w-1", "w-2"), read(fmt.Sprint("pd", i), 5000+i, time.Second)
+		entry.Workspace, direct.Workspace = "probe", "probe"
+		entry.Probe, direct.Probe, entry.Rows = true, true, nil
+		direct.Path = history.PathDirect
+		direct.Completed = direct.Invoked.Add(time.Millisecond)
+		run.Requests = append(run.Requests, entry, direct)
+	}
+	want := checker.Latencies{P50: 1000, P99: 1000}
+	if diff := cmp.Diff(want, checker.Check(run).AddedLatencyUs); diff != "" {
+		t.Error(diff)
+	}
+}
--- /dev/null
+++ b/bench/checker/reads.go
@@ -0,0 +1,182 @@
+package checker
+
+import (
+	"fmt"
+	"regexp"
+	"slices"
+	"time"
+
+	"lentilwind.dev/bench/history"
+	"lentilwind.dev/lentilwind/group"
+	"lentilwind.dev/lentilwind/inventory"
+)
+
+// place is where reads and writes meet.
+type place struct {
+	service   group.Service
+	workspace inventory.WorkspaceName
+	key       string
+}
+
+func placeOf(r *history.Request) place {
+	return place{service: r.Service, workspace: r.Workspace, key: r.Key}
+}
+
+// staleReads counts reads that miss a write which they had to show.
+func (j *judge) staleReads() int {
+	acknowledged := make(map[place][]*history.Request)
+	for _, r := range j.requests {
+		if r.Write && r.Outcome == history.OutcomeOK {
+			acknowledged[placeOf(r)] = append(acknowledged[placeOf(r)], r)
+		}
+	}
+	n := 0
+	for _, r := range j.requests {
+		if r.Write || r.Outcome != history.OutcomeOK {
+			continue
+		}
+		if missed, why := j.missed(r, acknowledged[placeOf(r)]); missed != "" {
+			n += j.find("staleReads", r.ID, fmt.Sprintf("%s by %s does not show %s", why, r.Entry, missed))
+		}
+	}
+	return n
+}
+
+// missed returns a write that the read had to show and did not.
+func (j *judge) missed(r *history.Request, writes []*history.Request) (id, why string) {
+	seen := make(map[string]bool, len(r.Rows))
+	for _, row := range r.Rows {
+		seen[row.ID] = true
+	}
+	limit := r.Invoked.Add(-r.MaxStaleness.Std())
+	for _, w := range writes {
+		switch {
+		case seen[w.ID]:
+		case w.Session == r.Session && w.Completed.Before(r.Invoked):
+			return w.ID, "a read of the writing session"
+		case w.Completed.Before(limit):
+			return w.ID, fmt.Sprintf("a read that may be %s stale", r.MaxStaleness)
+		}
+	}
+	return "", ""
+}
+
+var routePattern = regexp.MustCompile(`route='([^']*)'`)
+
+// replicaReadShare is the part of the reads allowed to be stale that replicas ran.
+func (j *judge) replicaReadShare() float64 {
+	eligible := make(map[string]bool)
+	for _, r := range j.requests {
+		if !r.Write && r.MaxStaleness > 0 {
+			eligible[string(r.Route)] = true
+		}
+	}
+	replica, all := 0, 0
+	for i := range j.run.Databases {
+		o := &j.run.Databases[i]
+		if o.Kind != history.DatabaseStatement || j.quota(inventory.WorkspaceName(o.Workspace)) == nil {
+			continue
+		}
+		match := routePattern.FindStringSubmatch(o.Statement)
+		if match == nil || !eligible[match[1]] {
+			continue
+		}
+		all++
+		if o.Role == group.RoleReplica {
+			replica++
+		}
+	}
+	return ratio(replica, all)
+}
+
+func ratio(part, whole int) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
+
+// Failover is a change of the term under which a group's writes were acknowledged.
+type Failover struct {
+	Group group.ID   `json:"group"`
+	From  group.Term `json:"from"`
+	To    group.Term `json:"to"`
+	// GapMs is the time from the last acknowledged write of the old term to the first of the new one.
+	GapMs int64     `json:"gapMs"`
+	At    time.Time `json:"at"`
+}
+
+// failovers finds each change of term between acknowledged writes.
+func (j *judge) failovers() []Failover {
+	list := []Failover{}
+	type span struct {
+		term        group.Term
+		first, last time.Time
+	}
+	spans := make(map[group.ID]map[group.Term]*span)
+	for _, r := range j.requests {
+		commits := j.commits[r.ID]
+		if !r.Write || r.Outcome != history.OutcomeOK || len(commits) == 0 {
+			continue
+		}
+		id, term := group.ID{Service: r.Service, Slot: r.Slot}, commits[len(commits)-1].Term
+		if spans[id] == nil {
+			spans[id] = make(map[group.Term]*span)
+		}
+		s := spans[id][term]
+		if s == nil {
+			s = &span{term: term, first: r.Completed, last: r.Completed}
+			spans[id][term] = s
+		}
+		if r.Completed.Before(s.first) {
+			s.first = r.Completed
+		}
+		if r.Completed.After(s.last) {
+			s.last = r.Completed
+		}
+	}
+	for id, terms := range spans {
+		var order []*span
+		for _, s := range terms {
+			order = append(order, s)
+		}
+		slices.SortFunc(order, func(a, b *span) int { return int(a.term) - int(b.term) })
+		for i := 1; i < len(order); i++ {
+			gap := order[i].first.Sub(order[i-1].last)
+			list = append(list, Failover{
+				Group: id, From: order[i-1].term, To: order[i].term, GapMs: gap.Milliseconds(), At: order[i-1].last,
+			})
+		}
+	}
+	slices.SortFunc(list, func(a, b Failover) int { return a.At.Compare(b.At) })
+	return list
+}
+
+// addedLatency compares the probes through the system with the same statements sent directly.
+func (j *judge) addedLatency() Latencies {
+	var entry, direct []time.Duration
+	for i := range j.run.Requests {
+		r := &j.run.Requests[i]
+		if !r.Probe || r.Outcome != history.OutcomeOK {
+			continue
+		}
+		if r.Path == history.PathDirect {
+			direct = append(direct, r.Completed.Sub(r.Invoked))
+			continue
+		}
+		entry = append(entry, r.Completed.Sub(r.Invoked))
+	}
+	if len(entry) == 0 || len(direct) == 0 {
+		return Latencies{}
+	}
+	return Latencies{
+		P50: (quantile(entry, 50) - quantile(direct, 50)).Microseconds(),
+		P99: (quantile(entry, 99) - quantile(direct, 99)).Microseconds(),
+	}
+}
+
+// quantile returns the given percentile by the nearest rank.
+func quantile(values []time.Duration, percent int) time.Duration {
+	slices.Sort(values)
+	return values[max(0, (len(values)*percent+99)/100-1)]
+}
--- a/bench/database/announce.go
+++ b/bench/database/announce.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -18,7 +19,9 @@
 
 // announce tells the entries of the server until it stops, at one URL after the other.
 func (r *run) announce() {
-	client := &http.Client{Timeout: announceTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	dialer := net.Dialer{LocalAddr: r.localAddress()}
+	transport := &http.Transport{DisableKeepAlives: true, DialContext: dialer.DialContext}
+	client := &http.Client{Timeout: announceTimeout, Transport: transport}
 	for sequence := uint64(1); r.ctx.Err() == nil; sequence++ {
 		next := time.After(announcePeriod)
 		leaving := r.server.leaving.Load()
@@ -32,6 +35,15 @@
 	}
 }
 
+// localAddress is the server's own address for connections that it opens.
+func (r *run) localAddress() net.Addr {
+	listen := r.listener.Addr().(*net.TCPAddr)
+	if listen.IP.IsUnspecified() {
+		return nil
+	}
+	return &net.TCPAddr{IP: listen.IP}
+}
+
 // announceOnce tries each URL until one answers, and returns whether the server may stop.
 func (r *run) announceOnce(client *http.Client, sequence uint64, leaving bool) bool {
 	urls := r.server.cfg.Announce
--- a/bench/database/replica.go
+++ b/bench/database/replica.go
@@ -60,7 +60,7 @@
 
 // link follows one primary until the connection fails or the target changes.
 func (r *run) link(m *member.Member, target member.Target) error {
-	dialer := net.Dialer{Timeout: linkTimeout}
+	dialer := net.Dialer{Timeout: linkTimeout, LocalAddr: r.localAddress()}
 	c, err := dialer.DialContext(r.ctx, "tcp", target.Address)
 	if err != nil {
 		return fmt.Errorf("database: %w", err)
--- a/bench/database/session.go
+++ b/bench/database/session.go
@@ -226,6 +226,9 @@
 	o.Workspace, o.Access, o.Term = s.scope[settingWorkspace], s.scope[settingAccess], s.term()
 	slot, _ := strconv.ParseUint(s.scope[settingSlot], 10, 16)
 	o.Slot = group.Slot(slot)
+	if m, err := s.member(); err == nil {
+		o.Role = m.Status().Role
+	}
 	if s.transaction != nil {
 		o.Transaction = s.transaction.Name()
 	}
--- a/bench/history/database.go
+++ b/bench/history/database.go
@@ -46,6 +46,8 @@
 	Slot       group.Slot        `json:"slot"`
 	Term       group.Term        `json:"term,omitempty"`
 	Access     string            `json:"access,omitempty"`
+	// Role is that of the member when it observed.
+	Role group.Role `json:"role,omitempty"`
 	// Transaction is unique over servers and restarts.
 	Transaction string         `json:"transaction,omitempty"`
 	Position    group.Position `json:"position,omitempty"`
