--- a/bench/database/execute.go
+++ b/bench/database/execute.go
@@ -101,6 +101,8 @@
 	}
 	access := s.scope[settingAccess]
 	switch {
+	case s.reader && s.writes():
+		return &statement.Error{Code: member.CodeReadOnly, Message: "this user only reads"}
 	case s.scope[settingWorkspace] == "" || access == "":
 		return &statement.Error{Code: "55000", Message: "the connection has no scope"}
 	case s.writes():
--- a/bench/database/session.go
+++ b/bench/database/session.go
@@ -24,6 +24,7 @@
 	process uint32
 	secret  []byte
 	monitor bool
+	reader  bool
 
 	scope    map[string]string
 	prepared map[string]*prepared
@@ -40,9 +41,10 @@
 	running context.CancelFunc
 }
 
-func newSession(r *run, c *conn, id uint64, backend *pgproto3.Backend, monitor bool) *session {
+func newSession(r *run, c *conn, id uint64, backend *pgproto3.Backend, user string) *session {
 	return &session{
-		run: r, conn: c, id: id, backend: backend, monitor: monitor,
+		run: r, conn: c, id: id, backend: backend,
+		monitor: user == UserMonitor, reader: user == UserReader,
 		process: randomProcess(), secret: randomBytes(secretBytes),
 		scope: make(map[string]string), prepared: make(map[string]*prepared), portals: make(map[string]*portal),
 	}
--- a/bench/database/startup.go
+++ b/bench/database/startup.go
@@ -4,6 +4,7 @@
 	"crypto/rand"
 	"crypto/subtle"
 	"encoding/binary"
+	"sync/atomic"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -15,6 +16,8 @@
 const (
 	UserSystem      = "lentilwind"
 	UserMonitor     = "lentilwind-monitor"
+	// UserReader reads like UserSystem, writes nothing and does not count; test programs look at results with it.
+	UserReader      = "lentilwind-reader"
 	userReplication = "lentilwind-replication"
 )
 
@@ -84,7 +87,7 @@
 	if !r.pause(cfg.ConnectTime.Std()) {
 		return
 	}
-	s := newSession(r, c, id, backend, user == UserMonitor)
+	s := newSession(r, c, id, backend, user)
 	r.sessions.Store(s.process, s)
 	defer r.sessions.Delete(s.process)
 	s.greet()
@@ -107,11 +110,14 @@
 // admit counts a connection in or returns the reason against it.
 func (r *run) admit(user, database string) (code, message string) {
 	counter, limit := &r.counted, int64(r.server.cfg.Connections)
-	if user == UserMonitor {
+	switch user {
+	case UserMonitor:
 		counter, limit = &r.monitors, maxMonitors
+	case UserReader:
+		counter, limit = new(atomic.Int64), 1
 	}
 	switch {
-	case user != UserSystem && user != UserMonitor:
+	case user != UserSystem && user != UserMonitor && user != UserReader:
 		return "28000", "role does not exist"
 	case database != string(r.server.cfg.Service):
 		return "3D000", "database does not exist"
@@ -125,11 +131,12 @@
 }
 
 func (r *run) leave(user string) {
-	if user == UserMonitor {
+	switch user {
+	case UserMonitor:
 		r.monitors.Add(-1)
-		return
+	case UserSystem:
+		r.counted.Add(-1)
 	}
-	r.counted.Add(-1)
 }
 
 var greeting = []pgproto3.ParameterStatus{
--- /dev/null
+++ b/bench/internal/load/outcome.go
@@ -0,0 +1,69 @@
+package load
+
+import (
+	"errors"
+	"strings"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"lentilwind.dev/bench/history"
+)
+
+// The SQLSTATEs that an entry gives.
+const (
+	codeNotRun    = "LW001"
+	codeUnknown   = "LW002"
+	codeQuota     = "LW003"
+	codeKey       = "LW004"
+	codeNoPrimary = "LW005"
+	codePassword  = "28P01"
+)
+
+var codeOutcomes = map[string]history.Outcome{
+	codeNotRun:    history.OutcomeNotRun,
+	codeUnknown:   history.OutcomeUnknown,
+	codeQuota:     history.OutcomeQuota,
+	codeKey:       history.OutcomeKey,
+	codePassword:  history.OutcomeKey,
+	codeNoPrimary: history.OutcomeNoPrimary,
+}
+
+// classify returns the outcome of a request that was sent on an open connection.
+func classify(err error) (outcome history.Outcome, code, message string) {
+	if err == nil {
+		return history.OutcomeOK, "", ""
+	}
+	var refused *pgconn.PgError
+	if errors.As(err, &refused) {
+		return classifyCode(refused), refused.Code, refused.Message
+	}
+	if pgconn.SafeToRetry(err) {
+		return history.OutcomeUnreached, "", err.Error()
+	}
+	if errors.Is(err, pgx.ErrTxCommitRollback) {
+		return history.OutcomeFailed, "", err.Error()
+	}
+	return history.OutcomeUnknown, "", err.Error()
+}
+
+func classifyCode(refused *pgconn.PgError) history.Outcome {
+	if outcome, known := codeOutcomes[refused.Code]; known {
+		return outcome
+	}
+	// A connection that ends in the middle of a request leaves its outcome open.
+	if refused.Severity == "FATAL" || strings.HasPrefix(refused.Code, "57") || strings.HasPrefix(refused.Code, "08") {
+		return history.OutcomeUnknown
+	}
+	return history.OutcomeFailed
+}
+
+// classifyConnect returns the outcome of a request that got no connection.
+func classifyConnect(err error) (outcome history.Outcome, code, message string) {
+	outcome, code, message = classify(err)
+	switch outcome {
+	case history.OutcomeUnknown, history.OutcomeFailed, history.OutcomeOK:
+		outcome = history.OutcomeUnreached
+	}
+	return outcome, code, message
+}
--- /dev/null
+++ b/bench/internal/load/probe.go
@@ -0,0 +1,195 @@
+package load
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"lentilwind.dev/bench/database"
+	"lentilwind.dev/bench/history"
+	"lentilwind.dev/lentilwind/group"
+	"lentilwind.dev/lentilwind/inventory"
+	"lentilwind.dev/lentilwind/jsonc"
+)
+
+// probe sends the same read by turns through an entry and directly, to compare their latency.
+func (l *Load) probe(ctx context.Context, start time.Time) {
+	step := l.readStep()
+	service := &l.cfg.Services[0]
+	if step == nil || len(service.Databases) == 0 {
+		return
+	}
+	var conns [2]*pgx.Conn
+	defer func() {
+		for _, conn := range conns {
+			if conn != nil {
+				_ = conn.Close(context.Background())
+			}
+		}
+	}()
+	for n := 0; sleepUntil(ctx, start.Add(time.Duration(n)*l.cfg.ProbePeriod)); n++ {
+		if time.Since(start) >= l.cfg.Duration {
+			return
+		}
+		key := keyName(n / len(conns) % l.cfg.Keys)
+		r := history.Request{
+			ID: fmt.Sprintf("%s-%d", l.cfg.Probe, n), Workspace: l.cfg.Probe, Service: service.Name, Session: string(l.cfg.Probe),
+			Path: []history.Path{history.PathEntry, history.PathDirect}[n%len(conns)], Probe: true, Route: step.Route, Key: key,
+			MaxStaleness: jsonc.Duration(step.MaxStaleness), Slot: SlotOf(key, service.Slots),
+		}
+		l.probeOnce(ctx, service, &conns[n%len(conns)], &r)
+		l.record(r)
+	}
+}
+
+func (l *Load) readStep() *Step {
+	for i := range l.cfg.Mix {
+		if l.cfg.Mix[i].Kind == KindRead {
+			return &l.cfg.Mix[i]
+		}
+	}
+	return nil
+}
+
+func (l *Load) probeOnce(ctx context.Context, service *Service, conn **pgx.Conn, r *history.Request) {
+	ctx, cancel := context.WithTimeout(ctx, RequestTimeout)
+	defer cancel()
+	err := l.probeConnect(ctx, service, conn, r)
+	r.Scheduled = time.Now()
+	r.Invoked = r.Scheduled
+	if err != nil {
+		r.Completed = time.Now()
+		r.Outcome, r.Code, r.Message = classifyConnect(err)
+		return
+	}
+	err = perform(ctx, *conn, r, KindRead)
+	r.Completed = time.Now()
+	r.Outcome, r.Code, r.Message = classify(err)
+	if (*conn).IsClosed() {
+		*conn = nil
+	}
+}
+
+func (l *Load) probeConnect(ctx context.Context, service *Service, conn **pgx.Conn, r *history.Request) error {
+	var err error
+	if *conn == nil && r.Path == history.PathEntry {
+		*conn, err = dialEntry(ctx, l.cfg.Entries[0], service, l.cfg.Probe, l.cfg.ProbeKey, "")
+	}
+	if *conn == nil && r.Path == history.PathDirect {
+		*conn, err = DialReader(ctx, service.Databases[0], service.Name)
+	}
+	if err != nil {
+		*conn = nil
+		return err
+	}
+	if r.Path == history.PathEntry {
+		r.Entry = l.cfg.Entries[0].Name
+		return nil
+	}
+	return SetReaderScope(ctx, *conn, l.cfg.Probe, r.Slot)
+}
+
+// DialReader connects to a database without counting against its limit.
+func DialReader(ctx context.Context, address string, service group.Service) (*pgx.Conn, error) {
+	return pgx.Connect(ctx, fmt.Sprintf("postgres://%s@%s/%s?sslmode=disable", database.UserReader, address, service))
+}
+
+// SetReaderScope chooses the workspace and slot that a reader sees.
+func SetReaderScope(ctx context.Context, conn *pgx.Conn, workspace inventory.WorkspaceName, slot group.Slot) error {
+	text := fmt.Sprintf("SET lentilwind.workspace = '%s'; SET lentilwind.slot = '%d'; SET lentilwind.term = '0'; "+
+		"SET lentilwind.access = 'read'", workspace, slot)
+	_, err := conn.PgConn().Exec(ctx, text).ReadAll()
+	return err
+}
+
+// ErrNoPrimary tells that the final reading found no primary of a slot.
+var ErrNoPrimary = errors.New("load: a slot has no primary")
+
+// ReadFinal reads the journals of the workspaces at the primaries of a service.
+func ReadFinal(ctx context.Context, service Service, workspaces []inventory.WorkspaceName) ([]history.Final, error) {
+	var list []history.Final
+	for slot := range service.Slots {
+		address, err := findPrimary(ctx, service, group.Slot(slot))
+		if err != nil {
+			return nil, err
+		}
+		conn, err := DialReader(ctx, address, service.Name)
+		if err != nil {
+			return nil, fmt.Errorf("load: %w", err)
+		}
+		for _, workspace := range workspaces {
+			rows, err := readJournal(ctx, conn, workspace, group.Slot(slot))
+			if err != nil {
+				return nil, errors.Join(fmt.Errorf("load: %w", err), conn.Close(ctx))
+			}
+			list = append(list, history.Final{
+				Service: service.Name, Slot: group.Slot(slot), Workspace: workspace, Rows: rows,
+			})
+		}
+		if err := conn.Close(ctx); err != nil {
+			return nil, fmt.Errorf("load: %w", err)
+		}
+	}
+	return list, nil
+}
+
+func readJournal(ctx context.Context, conn *pgx.Conn, workspace inventory.WorkspaceName, slot group.Slot) ([]history.Row, error) {
+	if err := SetReaderScope(ctx, conn, workspace, slot); err != nil {
+		return nil, err
+	}
+	rows, err := conn.Query(ctx, "SELECT id, key, workspace, value FROM journal")
+	if err != nil {
+		return nil, err
+	}
+	return pgx.CollectRows(rows, pgx.RowToStructByPos[history.Row])
+}
+
+// findPrimary returns the database that is primary of a slot in the newest term.
+func findPrimary(ctx context.Context, service Service, slot group.Slot) (string, error) {
+	var newest int64
+	found := ""
+	for _, address := range service.Databases {
+		term, err := primaryTerm(ctx, service, address, slot)
+		if err != nil {
+			continue
+		}
+		if term > newest {
+			newest, found = term, address
+		}
+	}
+	if found == "" {
+		return "", fmt.Errorf("%w: %s/%d", ErrNoPrimary, service.Name, slot)
+	}
+	return found, nil
+}
+
+// primaryTerm returns the term in which a database is primary of a slot, or 0.
+func primaryTerm(ctx context.Context, service Service, address string, slot group.Slot) (int64, error) {
+	conn, err := pgx.Connect(ctx, fmt.Sprintf("postgres://%s@%s/%s?sslmode=disable", database.UserMonitor, address, service.Name))
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = conn.Close(ctx) }()
+	rows, err := conn.Query(ctx, "SELECT * FROM lentilwind_status()")
+	if err != nil {
+		return 0, err
+	}
+	type status struct {
+		Slot                                     int64
+		Role                                     string
+		Term, Fenced, Received, Applied, AgeMsec int64
+	}
+	list, err := pgx.CollectRows(rows, pgx.RowToStructByPos[status])
+	if err != nil {
+		return 0, err
+	}
+	for _, st := range list {
+		if st.Slot == int64(slot) && st.Role == string(group.RolePrimary) {
+			return st.Term, nil
+		}
+	}
+	return 0, nil
+}
