Load from seeded open-loop callers, shown to catch broken entries

Callers arrive at the times of a Poisson process per workspace, however long the answers take; sessions roam between entries with their token and sometimes without it; probes send the same read directly and through an entry.

Run through a plain relay over three stand-ins nothing is found broken; with one fault put in (stale replicas, writes sent twice, writes dropped, wrong workspace, key passed on, false "not run") the checkers name each: go test -race -count=3 ./internal/load.

--- a/bench/database/startup.go
+++ b/bench/database/startup.go
@@ -14,8 +14,8 @@
 
 // The users that a server knows.
 const (
-	UserSystem      = "lentilwind"
-	UserMonitor     = "lentilwind-monitor"
+	UserSystem  = "lentilwind"
+	UserMonitor = "lentilwind-monitor"
 	// UserReader reads like UserSystem, writes nothing and does not count; test programs look at results with it.
 	UserReader      = "lentilwind-reader"
 	userReplication = "lentilwind-replication"
--- /dev/null
+++ b/bench/internal/load/load_test.go
@@ -0,0 +1,97 @@
+package load_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"lentilwind.dev/bench/checker"
+	"lentilwind.dev/bench/database"
+	"lentilwind.dev/bench/history"
+	"lentilwind.dev/bench/internal/load"
+	"lentilwind.dev/lentilwind/inventory"
+	"lentilwind.dev/lentilwind/jsonc"
+)
+
+const secret = "lw-secret-of-the-florists"
+
+// drive runs a short load through a naive entry and judges it.
+func drive(t *testing.T, f fault) *checker.Summary {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	cfg := database.Config{Service: "inventario-1", Connections: 100, ApplyDelay: jsonc.Duration(50 * time.Millisecond)}
+	service, err := database.StartService(cfg, "a", "b", "c")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = service.Close() }()
+	first, second := startNaive(t, service, f), startNaive(t, service, f)
+	run := &checker.Run{Keys: []string{secret}, Quotas: []checker.Quota{
+		{Workspace: "stalls", Rate: 1000, Burst: 1000}, {Workspace: "florists", Rate: 1000, Burst: 1000},
+	}}
+	target := load.Service{Name: "inventario-1", Slots: 3}
+	for _, s := range service {
+		target.Databases = append(target.Databases, s.Address())
+	}
+	var mu sync.Mutex
+	l := load.New(load.Config{
+		Entries: []load.Entry{
+			{Name: "entry-1", Address: first.listener.Addr().String()},
+			{Name: "entry-2", Address: second.listener.Addr().String()},
+		},
+		Services: []load.Service{target},
+		Workspaces: []load.Workspace{
+			{Name: "stalls", Key: "other", Rate: 200, Sessions: 4}, {Name: "florists", Key: secret, Rate: 200, Sessions: 4},
+		},
+		Mix: load.TresRiosMix(), Keys: 10, Seed: 7, Duration: time.Second, Roam: load.DefaultRoam,
+		Probe: "probe", ProbeKey: "probe", ProbePeriod: 10 * time.Millisecond,
+		Record: func(r history.Request) {
+			mu.Lock()
+			defer mu.Unlock()
+			run.Requests = append(run.Requests, r)
+		},
+	})
+	if err := l.Run(ctx); err != nil {
+		t.Fatal(err)
+	}
+	run.Final, err = load.ReadFinal(ctx, target, []inventory.WorkspaceName{"stalls", "florists"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range service {
+		run.Databases = append(run.Databases, s.Record()...)
+	}
+	return checker.Check(run)
+}
+
+func TestLoadThroughAPlainEntryBreaksNothing(t *testing.T) {
+	s := drive(t, faultNone)
+	if s.Broken() != 0 {
+		t.Errorf("broken promises: %+v", s.Findings)
+	}
+	if s.Requests < 200 || s.Outcomes[history.OutcomeOK] != s.Requests {
+		t.Errorf("the load did not run well: %+v", s.Outcomes)
+	}
+	if s.WorstWorkspaceShare != 1 || s.ReplicaReadShare != 0 {
+		t.Errorf("the figures are wrong: share %v, replicas %v", s.WorstWorkspaceShare, s.ReplicaReadShare)
+	}
+}
+
+func TestBrokenEntriesAreCaught(t *testing.T) {
+	for f, count := range map[fault]func(*checker.Summary) int{
+		faultStale:       func(s *checker.Summary) int { return s.StaleReads },
+		faultDouble:      func(s *checker.Summary) int { return s.DoubledWrites },
+		faultLose:        func(s *checker.Summary) int { return s.LostWrites },
+		faultMix:         func(s *checker.Summary) int { return s.MixedWorkspaces },
+		faultLeak:        func(s *checker.Summary) int { return s.KeyLeaks },
+		faultFalseNotRun: func(s *checker.Summary) int { return s.FalseNotRun },
+	} {
+		t.Run(string(f), func(t *testing.T) {
+			if s := drive(t, f); count(s) == 0 {
+				t.Errorf("nothing was found: %+v", s)
+			}
+		})
+	}
+}
