Experiments with faults, reports and comparisons: first form, not yet run on a whole fleet

`lentil-bench demo` and `run` start a fleet, offer the load of a scenario, bring about a fault plan (JSON with comments), read the final state, stop everything and judge it; they write the histories, summary.json and a page with plots. `compare` shows two sets of runs with medians and spread. Withdrawn keys are watched on an open connection.

--- a/bench/checker/checker.go
+++ b/bench/checker/checker.go
@@ -22,6 +22,7 @@
 	Requests  []history.Request
 	Databases []history.Database
 	Final     []history.Final
+	Faults    []history.Fault
 	Quotas    []Quota
 	// Keys are the secrets of the callers.
 	Keys []string
@@ -45,6 +46,8 @@
 	// OverQuota is the sum over workspaces of the most requests above rate and burst in any window.
 	OverQuota   int `json:"overQuota"`
 	FalseNotRun int `json:"falseNotRun"`
+	// WithdrawnKeys counts requests that ran for a key after the grace of its withdrawal.
+	WithdrawnKeys int `json:"withdrawnKeys"`
 
 	Requests            int                     `json:"requests"`
 	Outcomes            map[history.Outcome]int `json:"outcomes"`
@@ -55,6 +58,7 @@
 	WorstWorkspaceShare float64                 `json:"worstWorkspaceShare"`
 	Workspaces          []Share                 `json:"workspaces"`
 	AddedLatencyUs      Latencies               `json:"addedLatencyUs"`
+	Faults              []FaultRow              `json:"faults"`
 	Skipped             []string                `json:"skipped"`
 	// Findings names the first broken promises of each kind.
 	Findings []Finding `json:"findings"`
@@ -69,7 +73,8 @@
 
 // Broken returns the number of broken promises.
 func (s *Summary) Broken() int {
-	return s.LostWrites + s.DoubledWrites + s.StaleReads + s.MixedWorkspaces + s.KeyLeaks + s.OverQuota + s.FalseNotRun
+	return s.LostWrites + s.DoubledWrites + s.StaleReads + s.MixedWorkspaces + s.KeyLeaks + s.OverQuota +
+		s.FalseNotRun + s.WithdrawnKeys
 }
 
 // maxFindings bounds the findings of one promise.
@@ -97,6 +102,7 @@
 		KeyLeaks:         j.keyLeaks(),
 		OverQuota:        j.overQuota(),
 		FalseNotRun:      j.falseNotRun(),
+		WithdrawnKeys:    j.withdrawnKeys(),
 		Requests:         len(j.requests),
 		Outcomes:         make(map[history.Outcome]int),
 		ReplicaReadShare: j.replicaReadShare(),
@@ -106,6 +112,7 @@
 		AddedLatencyUs:   j.addedLatency(),
 		Skipped:          slices.Concat([]string{}, run.Skipped),
 	}
+	s.Faults = j.faultRows(s.Failovers)
 	for _, r := range j.requests {
 		s.Outcomes[r.Outcome]++
 	}
--- a/bench/checker/checker_test.go
+++ b/bench/checker/checker_test.go
@@ -81,7 +81,7 @@
 }
 
 // promises are the counts of a summary that must be 0.
-type promises struct{ Lost, Doubled, Stale, Mixed, Leaks, Over, FalseNotRun int }
+type promises struct{ Lost, Doubled, Stale, Mixed, Leaks, Over, FalseNotRun, Withdrawn int }
 
 func TestBrokenRunsAreCaught(t *testing.T) {
 	tests := map[string]struct {
@@ -130,6 +130,10 @@
 		"not run was said of a write that ran": {func(r *checker.Run) {
 			r.Requests[1].Outcome, r.Requests[1].Code = history.OutcomeNotRun, "LW001"
 		}, promises{FalseNotRun: 1}},
+		"a withdrawn key still works": {func(r *checker.Run) {
+			r.Faults = []history.Fault{{Time: at(-6000), Kind: checker.FaultWithdrawKey, Target: "k1"}}
+			r.Requests[2].Credential = "k1"
+		}, promises{Withdrawn: 1}},
 		"a refusal by quota stands in the journal": {func(r *checker.Run) {
 			r.Requests[1].Outcome = history.OutcomeQuota
 			r.Databases = r.Databases[:1]
@@ -141,7 +145,7 @@
 			test.spoil(run)
 			s := checker.Check(run)
 			got := promises{
-				s.LostWrites, s.DoubledWrites, s.StaleReads, s.MixedWorkspaces, s.KeyLeaks, s.OverQuota, s.FalseNotRun,
+				s.LostWrites, s.DoubledWrites, s.StaleReads, s.MixedWorkspaces, s.KeyLeaks, s.OverQuota, s.FalseNotRun, s.WithdrawnKeys,
 			}
 			if diff := cmp.Diff(test.want, got); diff != "" {
 				t.Errorf("%s\n%+v", diff, s.Findings)
--- a/bench/history/request.go
+++ b/bench/history/request.go
@@ -66,6 +66,8 @@
 	Session   string                  `json:"session"`
 	Entry     string                  `json:"entry,omitempty"`
 	Path      Path                    `json:"path"`
+	// Credential names the key of requests that are sent with one that is being withdrawn.
+	Credential inventory.KeyID `json:"credential,omitempty"`
 	// Probe marks requests that are sent both ways to compare their latency.
 	Probe        bool                `json:"probe,omitempty"`
 	Route        inventory.RouteName `json:"route"`
@@ -104,6 +106,8 @@
 	Time   time.Time `json:"time"`
 	Kind   FaultKind `json:"kind"`
 	Target string    `json:"target"`
+	// Done is when it had been brought about, for example when a change was in force.
+	Done time.Time `json:"done"`
 	// Error tells why it could not be brought about.
 	Error string `json:"error,omitempty"`
 }
--- /dev/null
+++ b/bench/internal/command/run.go
@@ -0,0 +1,78 @@
+package command
+
+import (
+	"fmt"
+	"path/filepath"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"lentilwind.dev/bench/internal/experiment"
+	"lentilwind.dev/bench/internal/report"
+)
+
+const defaultDuration = 30 * time.Second
+
+func newRun() *cobra.Command {
+	var options experiment.Options
+	var scenario, faults string
+	var repeat int
+	cmd := &cobra.Command{
+		Use:   "run",
+		Short: "Run a fleet under the load of a scenario and a fault plan, and write a report",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			options.Scenario = experiment.Scenario(scenario)
+			if faults != "" {
+				plan, err := experiment.ReadPlan(faults)
+				if err != nil {
+					return err
+				}
+				options.Plan = plan
+			}
+			return runRepeated(cmd, options, repeat)
+		},
+	}
+	addFolders(cmd, &options.Bin, &options.Out, "out/run")
+	cmd.Flags().StringVar(&scenario, "scenario", string(experiment.ScenarioTresRios), "tres-rios or clydeside")
+	cmd.Flags().StringVar(&faults, "faults", "", "fault plan, JSON with comments")
+	cmd.Flags().Uint64Var(&options.Seed, "seed", 1, "seed of arrivals and choices")
+	cmd.Flags().DurationVar(&options.Duration, "duration", defaultDuration, "length of the load")
+	cmd.Flags().BoolVar(&options.Network, "network", true, "relays with the delays of the users' networks")
+	cmd.Flags().IntVar(&repeat, "repeat", 1, "number of runs, each with the next seed and in a folder of its own")
+	return cmd
+}
+
+func runRepeated(cmd *cobra.Command, options experiment.Options, repeat int) error {
+	if repeat <= 1 {
+		return runExperiment(cmd, options)
+	}
+	out := options.Out
+	for range repeat {
+		options.Out = filepath.Join(out, fmt.Sprintf("seed-%d", options.Seed))
+		if err := runExperiment(cmd, options); err != nil {
+			return err
+		}
+		options.Seed++
+	}
+	return nil
+}
+
+func newCompare() *cobra.Command {
+	return &cobra.Command{
+		Use:   "compare A B",
+		Short: "Show the figures of two results, or of two sets of repeated runs, side by side",
+		Args:  cobra.ExactArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			a, err := report.ReadSummaries(args[0])
+			if err != nil {
+				return err
+			}
+			b, err := report.ReadSummaries(args[1])
+			if err != nil {
+				return err
+			}
+			return report.Compare(cmd.OutOrStdout(), a, b)
+		},
+	}
+}
--- /dev/null
+++ b/bench/internal/experiment/experiment.go
@@ -0,0 +1,211 @@
+package experiment
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"lentilwind.dev/bench/checker"
+	"lentilwind.dev/bench/fleet"
+	"lentilwind.dev/bench/history"
+	"lentilwind.dev/bench/internal/load"
+	"lentilwind.dev/bench/relay"
+	"lentilwind.dev/lentilwind/group"
+	"lentilwind.dev/lentilwind/inventory"
+)
+
+// Options says what to run.
+type Options struct {
+	Scenario Scenario
+	// Bin is the folder with the programs and Out an empty folder for the results.
+	Bin, Out string
+	Plan     *Plan
+	Seed     uint64
+	Duration time.Duration
+	// Network puts relays between the processes, with the delays of the users' networks.
+	Network bool
+	// Progress gets a line now and then.
+	Progress io.Writer
+}
+
+const (
+	dataCentreDelay = time.Millisecond
+	clientDelay     = 3 * time.Millisecond
+	clientZone      = relay.Zone("clients")
+	progressPeriod  = 2 * time.Second
+	settleTimeout   = 30 * time.Second
+	settlePeriod    = 100 * time.Millisecond
+	drainTime       = 15 * time.Second
+)
+
+// experiment is one run.
+type experiment struct {
+	Options
+	fleet    *fleet.Fleet
+	load     *load.Load
+	start    time.Time
+	requests *history.Writer[history.Request]
+	// watchers are callers with keys that are being withdrawn.
+	watchers sync.WaitGroup
+
+	mu sync.Mutex
+}
+
+// Run starts a fleet, offers the load, brings about the faults, stops all and judges what was recorded.
+func Run(ctx context.Context, options Options) (*checker.Summary, error) {
+	layout, err := options.Scenario.Layout()
+	if err != nil {
+		return nil, err
+	}
+	e := &experiment{Options: options}
+	e.say("starting %d control processes, %d entries and %d databases", layout.Control, layout.Entries, layout.Services*layout.Replicas)
+	f, err := fleet.Start(ctx, layout, fleet.Options{Bin: options.Bin, Dir: filepath.Join(options.Out, "fleet"), Relays: options.Network})
+	if err != nil {
+		return nil, err
+	}
+	e.fleet = f
+	e.run.Quotas = quotas(layout)
+	for _, key := range f.Keys {
+		e.run.Keys = append(e.run.Keys, key.Key)
+	}
+	err = e.measure(ctx)
+	e.say("stopping the fleet")
+	if err = errors.Join(err, f.Close()); err != nil {
+		return nil, err
+	}
+	return e.judge()
+}
+
+func (e *experiment) say(format string, args ...any) {
+	if e.Progress != nil {
+		fmt.Fprintf(e.Progress, format+"\n", args...)
+	}
+}
+
+// measure offers the load with its faults and reads the final state.
+func (e *experiment) measure(ctx context.Context) error {
+	if e.Network {
+		e.delays()
+	}
+	writer, err := history.Create[history.Request](filepath.Join(e.Out, requestsFile))
+	if err != nil {
+		return err
+	}
+	e.requests = writer
+	if err := e.awaitPrimaries(ctx); err != nil {
+		return errors.Join(err, writer.Close())
+	}
+	err = e.offer(ctx)
+	err = errors.Join(err, e.mendAll(ctx), e.awaitPrimaries(ctx), e.readFinal(ctx))
+	return errors.Join(err, writer.Close())
+}
+
+// delays puts the users' network delays in force.
+func (e *experiment) delays() {
+	e.fleet.Network.SetDelay(dataCentreDelay)
+	for _, dataCentre := range e.fleet.Layout.DataCentres {
+		e.fleet.Network.Set(clientZone, relay.Zone(dataCentre), relay.Fault{Delay: clientDelay})
+	}
+}
+
+func (e *experiment) config() load.Config {
+	cfg := load.Config{
+		Services: services(e.fleet), Workspaces: workspaces(e.fleet, e.Duration), Mix: e.Scenario.mix(),
+		Seed: e.Seed, Duration: e.Duration, Roam: load.DefaultRoam, Forget: load.DefaultForget,
+		Probe: probeWorkspace, ProbePeriod: probePeriod, Record: e.record,
+	}
+	for _, entry := range e.fleet.Entries {
+		cfg.Entries = append(cfg.Entries, load.Entry{Name: entry.Name(), Address: entry.Callers.String()})
+	}
+	if e.Network {
+		cfg.Local = e.fleet.ClientAddress()
+	}
+	return cfg
+}
+
+func (e *experiment) record(r history.Request) {
+	_ = e.requests.Add(r)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.run.Requests = append(e.run.Requests, r)
+}
+
+// offer runs the load and the faults side by side.
+func (e *experiment) offer(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, e.Duration+drainTime)
+	defer cancel()
+	e.load = load.New(e.config())
+	e.load.SetKey(probeWorkspace, e.fleet.Keys[probeWorkspace].Key)
+	e.start = time.Now()
+	loadCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	var faults sync.WaitGroup
+	faults.Go(func() { e.bringAbout(loadCtx) })
+	faults.Go(func() { e.showProgress(loadCtx) })
+	err := e.load.Run(loadCtx)
+	stop()
+	faults.Wait()
+	e.watchers.Wait()
+	return err
+}
+
+func (e *experiment) showProgress(ctx context.Context) {
+	ticker := time.NewTicker(progressPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			completed, ok := e.load.Progress()
+			e.say("%4.0f s  %d requests, %d answered well", time.Since(e.start).Seconds(), completed, ok)
+		}
+	}
+}
+
+// awaitPrimaries waits until each slot of each service has a primary.
+func (e *experiment) awaitPrimaries(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
+	for _, service := range services(e.fleet) {
+		for {
+			_, err := load.ReadFinal(ctx, service, nil)
+			if err == nil {
+				break
+			}
+			select {
+			case <-ctx.Done():
+				return fmt.Errorf("experiment: %s has not settled: %w", service.Name, err)
+			case <-time.After(settlePeriod):
+			}
+		}
+	}
+	return nil
+}
+
+func (e *experiment) readFinal(ctx context.Context) error {
+	var names []inventory.WorkspaceName
+	for _, w := range e.fleet.Layout.Workspaces {
+		names = append(names, w.Name)
+	}
+	for _, service := range services(e.fleet) {
+		final, err := load.ReadFinal(ctx, service, names)
+		if err != nil {
+			return err
+		}
+		e.run.Final = append(e.run.Final, final...)
+	}
+	return nil
+}
+
+func serviceName(l fleet.Layout, i int) group.Service {
+	return group.Service(fmt.Sprintf("%s-%d", l.Prefix, i+1))
+}
+
+// faultURL is a path of the interface for faults of a stand-in.
+func faultURL(address netip.AddrPort, path string) string { return "http://" + address.String() + path }
--- /dev/null
+++ b/bench/internal/experiment/operator.go
@@ -0,0 +1,92 @@
+package experiment
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+
+	"lentilwind.dev/bench/fleet"
+	"lentilwind.dev/lentilwind/inventory"
+	"lentilwind.dev/lentilwind/protocol"
+)
+
+var errNoKey = errors.New("experiment: the workspace has no key")
+
+// withdraw gives a workspace a new key and withdraws the old one, which a watcher keeps using.
+func (e *experiment) withdraw(ctx context.Context, f PlannedFault) (string, mendFunc, error) {
+	old, found := e.fleet.Keys[f.Workspace]
+	if !found {
+		return string(f.Workspace), nil, errNoKey
+	}
+	id, workspace := string(old.ID), string(f.Workspace)
+	var created struct {
+		ID  inventory.KeyID `json:"id"`
+		Key string          `json:"key"`
+	}
+	out, err := e.fleet.Lentilctl(ctx, "key", "create", "--workspace", workspace, "--apply")
+	if err != nil {
+		return id, nil, err
+	}
+	if err := json.Unmarshal(out, &created); err != nil {
+		return id, nil, fmt.Errorf("experiment: lentilctl key create: %w", err)
+	}
+	e.addKey(f.Workspace, fleet.Key{ID: created.ID, Key: created.Key})
+	e.watchers.Go(func() { e.load.WatchKey(ctx, f.Workspace, old.ID, old.Key) })
+	_, err = e.fleet.Lentilctl(ctx, "key", "withdraw", "--workspace", workspace, "--id", id)
+	return id, nil, err
+}
+
+func (e *experiment) addKey(workspace inventory.WorkspaceName, key fleet.Key) {
+	e.mu.Lock()
+	e.run.Keys = append(e.run.Keys, key.Key)
+	e.mu.Unlock()
+	e.load.SetKey(workspace, key.Key)
+}
+
+// changeRule sets the staleness that a route allows.
+func (e *experiment) changeRule(ctx context.Context, f PlannedFault) error {
+	out, err := e.fleet.Lentilctl(ctx, "inventory", "show")
+	if err != nil {
+		return err
+	}
+	var current protocol.InventoryRecord
+	if err := json.Unmarshal(out, &current); err != nil {
+		return fmt.Errorf("experiment: lentilctl inventory show: %w", err)
+	}
+	inv, err := inventory.Read([]byte(current.Document))
+	if err != nil {
+		return fmt.Errorf("experiment: %w", err)
+	}
+	for i := range inv.Routes {
+		if inv.Routes[i].Name == f.Route {
+			inv.Routes[i].MaxStaleness = f.MaxStaleness
+		}
+	}
+	data, err := json.MarshalIndent(inv, "", "  ")
+	if err != nil {
+		return fmt.Errorf("experiment: %w", err)
+	}
+	path := filepath.Join(e.Out, "changed-inventory.jsonc")
+	if err := os.WriteFile(path, data, 0o640); err != nil {
+		return fmt.Errorf("experiment: %w", err)
+	}
+	_, err = e.fleet.Lentilctl(ctx, "inventory", "apply", path, "--base", strconv.FormatUint(uint64(current.Revision), 10))
+	return err
+}
+
+// leader returns the name of the leading control process.
+func (e *experiment) leader(ctx context.Context) (string, error) {
+	out, err := e.fleet.Lentilctl(ctx, "status")
+	if err != nil {
+		return "", err
+	}
+	var status protocol.FleetStatus
+	if err := json.Unmarshal(out, &status); err != nil {
+		return "", fmt.Errorf("experiment: lentilctl status: %w", err)
+	}
+	return string(status.Leader), nil
+}
--- /dev/null
+++ b/bench/internal/experiment/plan.go
@@ -0,0 +1,137 @@
+package experiment
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+
+	"lentilwind.dev/bench/checker"
+	"lentilwind.dev/bench/history"
+	"lentilwind.dev/lentilwind/group"
+	"lentilwind.dev/lentilwind/inventory"
+	"lentilwind.dev/lentilwind/jsonc"
+)
+
+// The kinds of faults and changes.
+const (
+	FaultKillPrimary  history.FaultKind = "killPrimary"
+	FaultPausePrimary history.FaultKind = "pausePrimary"
+	FaultCutPrimary   history.FaultKind = "cutPrimary"
+	FaultKill         history.FaultKind = "kill"
+	FaultPause        history.FaultKind = "pause"
+	FaultStop         history.FaultKind = "stop"
+	FaultCut          history.FaultKind = "cut"
+	FaultSilence      history.FaultKind = "silence"
+	FaultLag          history.FaultKind = "lag"
+	FaultLeave        history.FaultKind = "leave"
+	FaultWithdrawKey                    = checker.FaultWithdrawKey
+	FaultChangeRule   history.FaultKind = "changeRule"
+)
+
+var faultKinds = []history.FaultKind{
+	FaultKillPrimary, FaultPausePrimary, FaultCutPrimary, FaultKill, FaultPause, FaultStop, FaultCut, FaultSilence, FaultLag,
+	FaultLeave, FaultWithdrawKey, FaultChangeRule,
+}
+
+// PlannedFault is one fault of a plan; faults with the same time happen together.
+type PlannedFault struct {
+	// At counts from the start of the load.
+	At   jsonc.Duration    `json:"at"`
+	Kind history.FaultKind `json:"kind"`
+	// For is the time after which the fault is mended; without it, it stays until the end of the load.
+	For jsonc.Duration `json:"for,omitempty"`
+	// Service and Slot name the group whose primary is meant.
+	Service group.Service `json:"service,omitempty"`
+	Slot    group.Slot    `json:"slot,omitempty"`
+	// Process names an entry, a control process or a database; "leader" stands for the leading control process.
+	Process    string                  `json:"process,omitempty"`
+	DataCentre inventory.DataCentre    `json:"dataCentre,omitempty"`
+	Workspace  inventory.WorkspaceName `json:"workspace,omitempty"`
+	Route      inventory.RouteName     `json:"route,omitempty"`
+	// MaxStaleness is the new value of the route's rule.
+	MaxStaleness jsonc.Duration `json:"maxStaleness,omitempty"`
+	// Delay is the lag of a replica.
+	Delay jsonc.Duration `json:"delay,omitempty"`
+}
+
+// Plan is a fault plan, written in JSON with comments.
+type Plan struct {
+	Faults []PlannedFault `json:"faults"`
+}
+
+// ReadPlan reads a fault plan.
+func ReadPlan(path string) (*Plan, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("experiment: %w", err)
+	}
+	return ParsePlan(data)
+}
+
+// ParsePlan reads the text of a fault plan and reports every problem.
+func ParsePlan(data []byte) (*Plan, error) {
+	doc, err := jsonc.Parse(data)
+	if err != nil {
+		return nil, err
+	}
+	var p Plan
+	if err := doc.Decode(&p); err != nil {
+		return nil, err
+	}
+	if err := doc.Refuse(p.check()); err != nil {
+		return nil, err
+	}
+	slices.SortStableFunc(p.Faults, func(a, b PlannedFault) int { return int(a.At - b.At) })
+	return &p, nil
+}
+
+func (p *Plan) check() []jsonc.Problem {
+	var problems []jsonc.Problem
+	for i := range p.Faults {
+		pointer := "/faults/" + strconv.Itoa(i)
+		f := &p.Faults[i]
+		if !slices.Contains(faultKinds, f.Kind) {
+			problems = append(problems, jsonc.Problem{
+				Pointer: pointer + "/kind", Message: fmt.Sprintf("unknown kind %q", f.Kind), Remedy: fmt.Sprintf("use one of %v", faultKinds),
+			})
+			continue
+		}
+		if missing := f.missing(); missing != "" {
+			problems = append(problems, jsonc.Problem{
+				Pointer: pointer, Message: fmt.Sprintf("%s needs %s", f.Kind, missing), Remedy: "add it",
+			})
+		}
+	}
+	return problems
+}
+
+// missing names a field that the kind of fault needs and that is empty.
+func (f *PlannedFault) missing() string {
+	switch f.Kind {
+	case FaultKillPrimary, FaultPausePrimary, FaultCutPrimary:
+		if f.Service == "" {
+			return "service"
+		}
+	case FaultKill, FaultPause, FaultStop, FaultSilence, FaultLag, FaultLeave:
+		if f.Process == "" {
+			return "process"
+		}
+	case FaultCut:
+		if f.DataCentre == "" {
+			return "dataCentre"
+		}
+	case FaultWithdrawKey:
+		if f.Workspace == "" {
+			return "workspace"
+		}
+	case FaultChangeRule:
+		if f.Route == "" {
+			return "route"
+		}
+	}
+	return ""
+}
+
+// needsNetwork tells whether the fault needs relays between the processes.
+func (f *PlannedFault) needsNetwork() bool { return f.Kind == FaultCut || f.Kind == FaultCutPrimary }
--- /dev/null
+++ b/bench/internal/experiment/result.go
@@ -0,0 +1,78 @@
+package experiment
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"lentilwind.dev/bench/checker"
+	"lentilwind.dev/bench/history"
+	"lentilwind.dev/bench/internal/report"
+)
+
+// The files of a result.
+const (
+	requestsFile  = "requests.jsonl"
+	databasesFile = "databases.jsonl"
+	finalFile     = "final.jsonl"
+	faultsFile    = "faults.jsonl"
+	// SummaryFile has the verdict.
+	SummaryFile = "summary.json"
+	// ReportFile is the page for people.
+	ReportFile = "report.html"
+)
+
+// judge reads what the databases recorded, checks the run and writes the results.
+func (e *experiment) judge() (*checker.Summary, error) {
+	for _, d := range e.fleet.Databases {
+		observed, err := history.Read[history.Database](d.RecordFile)
+		if err != nil {
+			return nil, err
+		}
+		e.run.Databases = append(e.run.Databases, observed...)
+	}
+	summary := checker.Check(&e.run)
+	err := errors.Join(
+		writeAll(filepath.Join(e.Out, databasesFile), e.run.Databases),
+		writeAll(filepath.Join(e.Out, finalFile), e.run.Final),
+		writeAll(filepath.Join(e.Out, faultsFile), e.run.Faults),
+		writeSummary(filepath.Join(e.Out, SummaryFile), summary),
+		e.writeReport(summary),
+	)
+	return summary, err
+}
+
+func writeAll[T any](path string, records []T) error {
+	w, err := history.Create[T](path)
+	if err != nil {
+		return err
+	}
+	for _, r := range records {
+		if err := w.Add(r); err != nil {
+			return errors.Join(err, w.Close())
+		}
+	}
+	return w.Close()
+}
+
+func writeSummary(path string, summary *checker.Summary) error {
+	data, err := json.MarshalIndent(summary, "", "  ")
+	if err != nil {
+		return fmt.Errorf("experiment: %w", err)
+	}
+	if err := os.WriteFile(path, append(data, '\n'), 0o640); err != nil {
+		return fmt.Errorf("experiment: %w", err)
+	}
+	return nil
+}
+
+func (e *experiment) writeReport(summary *checker.Summary) error {
+	file, err := os.Create(filepath.Join(e.Out, ReportFile))
+	if err != nil {
+		return fmt.Errorf("experiment: %w", err)
+	}
+	title := fmt.Sprintf("%s, seed %d, %s", e.Scenario, e.Seed, e.Duration)
+	return errors.Join(report.Write(file, title, &e.run, summary), file.Close())
+}
--- a/bench/internal/load/config.go
+++ b/bench/internal/load/config.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"net/netip"
 	"strconv"
 	"time"
 
@@ -39,6 +40,8 @@
 	Rate     float64
 	Sessions int
 	Surges   []Surge
+	// ReadOnly leaves writes out, for callers without a key.
+	ReadOnly bool
 }
 
 // Kind tells how a request is built.
@@ -79,9 +82,10 @@
 	Roam float64
 	// Forget is the chance that a roaming session comes without its token.
 	Forget float64
+	// Local is the address that callers dial from; the zero value leaves it to the system.
+	Local netip.Addr
 	// Probe is the workspace whose requests are sent both through entries and directly; empty sends none.
 	Probe       inventory.WorkspaceName
-	ProbeKey    string
 	ProbePeriod time.Duration
 	// Record gets each request as it ends.
 	Record func(history.Request)
--- a/bench/internal/load/load_test.go
+++ b/bench/internal/load/load_test.go
@@ -46,7 +46,7 @@
 			{Name: "stalls", Key: "other", Rate: 200, Sessions: 4}, {Name: "florists", Key: secret, Rate: 200, Sessions: 4},
 		},
 		Mix: load.TresRiosMix(), Keys: 10, Seed: 7, Duration: time.Second, Roam: load.DefaultRoam,
-		Probe: "probe", ProbeKey: "probe", ProbePeriod: 10 * time.Millisecond,
+		Probe: "probe", ProbePeriod: 10 * time.Millisecond,
 		Record: func(r history.Request) {
 			mu.Lock()
 			defer mu.Unlock()
--- a/bench/internal/load/probe.go
+++ b/bench/internal/load/probe.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
+	"net/netip"
 	"time"
 
 	"github.com/jackc/pgx/v5"
@@ -76,10 +78,10 @@
 func (l *Load) probeConnect(ctx context.Context, service *Service, conn **pgx.Conn, r *history.Request) error {
 	var err error
 	if *conn == nil && r.Path == history.PathEntry {
-		*conn, err = dialEntry(ctx, l.cfg.Entries[0], service, l.cfg.Probe, l.cfg.ProbeKey, "")
+		*conn, err = l.dialEntry(ctx, l.cfg.Entries[0], service, credentials{l.cfg.Probe, l.key(l.cfg.Probe), ""})
 	}
 	if *conn == nil && r.Path == history.PathDirect {
-		*conn, err = DialReader(ctx, service.Databases[0], service.Name)
+		*conn, err = DialReader(ctx, l.cfg.Local, service.Databases[0], service.Name)
 	}
 	if err != nil {
 		*conn = nil
@@ -93,8 +95,19 @@
 }
 
 // DialReader connects to a database without counting against its limit.
-func DialReader(ctx context.Context, address string, service group.Service) (*pgx.Conn, error) {
-	return pgx.Connect(ctx, fmt.Sprintf("postgres://%s@%s/%s?sslmode=disable", database.UserReader, address, service))
+func DialReader(ctx context.Context, local netip.Addr, address string, service group.Service) (*pgx.Conn, error) {
+	cfg, err := pgx.ParseConfig(fmt.Sprintf("postgres://%s@%s/%s?sslmode=disable", database.UserReader, address, service))
+	if err != nil {
+		return nil, fmt.Errorf("load: %w", err)
+	}
+	if local.IsValid() {
+		cfg.DialFunc = dialerFrom(local).DialContext
+	}
+	return pgx.ConnectConfig(ctx, cfg)
+}
+
+func dialerFrom(local netip.Addr) *net.Dialer {
+	return &net.Dialer{LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(local, 0))}
 }
 
 // SetReaderScope chooses the workspace and slot that a reader sees.
@@ -112,11 +125,11 @@
 func ReadFinal(ctx context.Context, service Service, workspaces []inventory.WorkspaceName) ([]history.Final, error) {
 	var list []history.Final
 	for slot := range service.Slots {
-		address, err := findPrimary(ctx, service, group.Slot(slot))
+		address, err := FindPrimary(ctx, service, group.Slot(slot))
 		if err != nil {
 			return nil, err
 		}
-		conn, err := DialReader(ctx, address, service.Name)
+		conn, err := DialReader(ctx, netip.Addr{}, address, service.Name)
 		if err != nil {
 			return nil, fmt.Errorf("load: %w", err)
 		}
@@ -147,8 +160,8 @@
 	return pgx.CollectRows(rows, pgx.RowToStructByPos[history.Row])
 }
 
-// findPrimary returns the database that is primary of a slot in the newest term.
-func findPrimary(ctx context.Context, service Service, slot group.Slot) (string, error) {
+// FindPrimary returns the database that is primary of a slot in the newest term.
+func FindPrimary(ctx context.Context, service Service, slot group.Slot) (string, error) {
 	var newest int64
 	found := ""
 	for _, address := range service.Databases {
--- a/bench/internal/load/session.go
+++ b/bench/internal/load/session.go
@@ -71,6 +71,9 @@
 }
 
 func (s *session) chooseStep() *Step {
+	if step := s.load.readStep(); s.workspace.ReadOnly && step != nil {
+		return step
+	}
 	chance := s.rng.Float64()
 	for i := range s.load.cfg.Mix {
 		step := &s.load.cfg.Mix[i]
@@ -157,7 +160,7 @@
 	}
 	for {
 		s.entry = s.load.cfg.Entries[s.rng.IntN(len(s.load.cfg.Entries))]
-		conn, err := dialEntry(ctx, s.entry, s.service, s.workspace.Name, s.load.key(s.workspace.Name), s.token)
+		conn, err := s.load.dialEntry(ctx, s.entry, s.service, credentials{s.workspace.Name, s.load.key(s.workspace.Name), s.token})
 		if err == nil {
 			s.conn = conn
 			return nil
@@ -171,15 +174,25 @@
 	}
 }
 
-func dialEntry(ctx context.Context, e Entry, service *Service, workspace inventory.WorkspaceName, key, token string) (*pgx.Conn, error) {
+// credentials are what a caller shows at startup.
+type credentials struct {
+	workspace inventory.WorkspaceName
+	key       string
+	token     string
+}
+
+func (l *Load) dialEntry(ctx context.Context, e Entry, service *Service, c credentials) (*pgx.Conn, error) {
 	cfg, err := pgx.ParseConfig(fmt.Sprintf("postgres://%s/%s?sslmode=disable", e.Address, service.Name))
 	if err != nil {
 		return nil, fmt.Errorf("load: %w", err)
 	}
-	cfg.User, cfg.Password = string(workspace), key
+	cfg.User, cfg.Password = string(c.workspace), c.key
 	cfg.ConnectTimeout = connectTimeout
-	if token != "" {
-		cfg.RuntimeParams[tokenParameter] = token
+	if c.token != "" {
+		cfg.RuntimeParams[tokenParameter] = c.token
+	}
+	if l.cfg.Local.IsValid() {
+		cfg.DialFunc = dialerFrom(l.cfg.Local).DialContext
 	}
 	return pgx.ConnectConfig(ctx, cfg)
 }
