--- /dev/null
+++ b/control/internal/failover/learn.go
@@ -0,0 +1,60 @@
+package failover
+
+import (
+	"context"
+	"time"
+
+	"lentilwind.dev/lentilwind/affinity"
+	"lentilwind.dev/lentilwind/catalog"
+	"lentilwind.dev/lentilwind/group"
+)
+
+// restoreModel returns the model of common failure as far as earlier leaders have journalled it.
+func restoreModel(cfg affinity.Config, now time.Time, state *catalog.State) *affinity.Model {
+	model := affinity.New(cfg)
+	if state.Inventory() == nil {
+		return model
+	}
+	for _, service := range state.Inventory().Services {
+		for _, database := range service.Databases {
+			restoreServer(model, now, state, database.Name)
+		}
+	}
+	return model
+}
+
+func restoreServer(model *affinity.Model, now time.Time, state *catalog.State, server group.Server) {
+	if failures := state.Failures(server); failures > 0 {
+		model.AddServer(now, server, float64(failures))
+	}
+	for _, other := range state.FailsWith(server) {
+		if server < other {
+			model.AddPair(now, server, other, float64(state.FailuresTogether(server, other)))
+		}
+	}
+}
+
+// learn journals a failure once its window is over; the lock is held.
+func (l *leadership) learn() {
+	servers := l.window.Close(l.now)
+	if servers == nil {
+		return
+	}
+	l.model.Learn(l.now, servers)
+	l.publishFailsWith()
+	command := catalog.Command{RecordFailure: &catalog.RecordFailure{Servers: servers, At: l.now}}
+	l.spawn(func() {
+		ctx, cancel := context.WithTimeout(l.ctx, proposeTimeout)
+		defer cancel()
+		if _, err := l.cfg.Ledger.Propose(ctx, command); err != nil {
+			l.cfg.Log.Warn().Err(err).Msg("a failure of servers was not journalled")
+		}
+	})
+}
+
+// publishFailsWith lets the entries know which servers vanish together; the lock is held.
+func (l *leadership) publishFailsWith() {
+	for _, id := range l.servers {
+		l.cfg.Roster.SetFailsWith(id, l.model.FailsWith(l.now, id.Server))
+	}
+}
--- /dev/null
+++ b/control/internal/monitor/doc.go
@@ -0,0 +1,2 @@
+// Package monitor speaks to databases on monitoring connections.
+package monitor
--- a/lentilwind/failover/detector.go
+++ b/lentilwind/failover/detector.go
@@ -1,7 +1,6 @@
 package failover
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -11,17 +10,6 @@
 	"lentilwind.dev/lentilwind/protocol"
 )
 
-// ServerID names one backend server.
-type ServerID struct {
-	Service group.Service
-	Server  group.Server
-}
-
-// Compare orders servers by service, then by name.
-func (id ServerID) Compare(other ServerID) int {
-	return cmp.Or(cmp.Compare(id.Service, other.Service), cmp.Compare(id.Server, other.Server))
-}
-
 // ProbeOutcome tells how a probe on a new connection ended.
 type ProbeOutcome string
 
@@ -60,24 +48,26 @@
 
 // Detector decides which servers are dead from the reports of entries, announcements and probes.
 //
-// A server is probed only once enough data centres suspect it, so a healthy fleet causes no probe at all.
+// A server is probed only once a majority of the data centres with live entries suspects it, which is two of two. So a single
+// data centre that is cut off starts nothing, and a healthy fleet causes no probe at all.
 type Detector struct {
 	cfg      DetectorConfig
 	started  time.Time
 	entries  map[inventory.InstanceName]*reporter
-	suspects map[ServerID]*suspect
+	suspects map[group.ServerID]*suspect
 }
 
 // reporter is one entry that reports.
 type reporter struct {
 	dataCentre inventory.DataCentre
 	seen       time.Time
-	suspects   []ServerID
+	suspects   []group.ServerID
 }
 
 // suspect is a server that at least one entry gets no answer from.
 type suspect struct {
-	reporters map[inventory.InstanceName]struct{}
+	// from counts the reporters of each data centre.
+	from      map[inventory.DataCentre]int
 	probing   bool
 	nextProbe time.Time
 	// failing is the start of the unbroken run of failed probes.
@@ -92,7 +82,7 @@
 		cfg:      cfg,
 		started:  now,
 		entries:  make(map[inventory.InstanceName]*reporter),
-		suspects: make(map[ServerID]*suspect),
+		suspects: make(map[group.ServerID]*suspect),
 	}
 }
 
@@ -103,27 +93,28 @@
 		entry = &reporter{}
 		d.entries[report.Name] = entry
 	}
+	d.withdraw(entry)
 	entry.dataCentre = report.DataCentre
 	entry.seen = now
-	d.withdraw(report.Name, entry)
 	for _, suspicion := range report.Suspects {
-		id := ServerID{Service: suspicion.Service, Server: suspicion.Server}
+		id := group.ServerID{Service: suspicion.Service, Server: suspicion.Server}
 		entry.suspects = append(entry.suspects, id)
 		s := d.suspects[id]
 		if s == nil {
-			s = &suspect{reporters: make(map[inventory.InstanceName]struct{})}
+			s = &suspect{from: make(map[inventory.DataCentre]int)}
 			d.suspects[id] = s
 		}
-		s.reporters[report.Name] = struct{}{}
+		s.from[entry.dataCentre]++
 	}
 	d.forgetCleared()
 }
 
 // withdraw takes back an entry's earlier suspicions.
-func (d *Detector) withdraw(name inventory.InstanceName, entry *reporter) {
+func (d *Detector) withdraw(entry *reporter) {
 	for _, id := range entry.suspects {
-		if s := d.suspects[id]; s != nil {
-			delete(s.reporters, name)
+		s := d.suspects[id]
+		if s.from[entry.dataCentre]--; s.from[entry.dataCentre] == 0 {
+			delete(s.from, entry.dataCentre)
 		}
 	}
 	entry.suspects = entry.suspects[:0]
@@ -132,14 +123,14 @@
 // forgetCleared drops the servers that no entry suspects.
 func (d *Detector) forgetCleared() {
 	for id, s := range d.suspects {
-		if len(s.reporters) == 0 {
+		if len(s.from) == 0 {
 			delete(d.suspects, id)
 		}
 	}
 }
 
 // Probed takes in the outcome of a probe.
-func (d *Detector) Probed(now time.Time, id ServerID, outcome ProbeOutcome) {
+func (d *Detector) Probed(now time.Time, id group.ServerID, outcome ProbeOutcome) {
 	s := d.suspects[id]
 	if s == nil {
 		return
@@ -163,22 +154,22 @@
 // Verdict is what a Tick of the detector found.
 type Verdict struct {
 	// Probe lists servers to be probed on new connections.
-	Probe []ServerID
+	Probe []group.ServerID
 	// Failed lists the servers that are dead.
-	Failed []ServerID
+	Failed []group.ServerID
 }
 
 // Tick drops silent entries and judges the suspected servers; heard gives the time of a server's last announcement.
-func (d *Detector) Tick(now time.Time, heard func(ServerID) time.Time) Verdict {
+func (d *Detector) Tick(now time.Time, heard func(group.ServerID) time.Time) Verdict {
 	d.dropSilent(now)
 	var verdict Verdict
 	if len(d.suspects) == 0 {
 		return verdict
 	}
 	live := d.liveDataCentres()
-	for _, id := range slices.SortedFunc(maps.Keys(d.suspects), ServerID.Compare) {
+	for _, id := range slices.SortedFunc(maps.Keys(d.suspects), group.ServerID.Compare) {
 		s := d.suspects[id]
-		if !d.agreed(s, live) {
+		if len(s.from) < majority(live) {
 			s.failing, s.refusing = time.Time{}, time.Time{}
 			continue
 		}
@@ -199,7 +190,7 @@
 func (d *Detector) dropSilent(now time.Time) {
 	for name, entry := range d.entries {
 		if now.Sub(entry.seen) > d.cfg.EntrySilentAfter {
-			d.withdraw(name, entry)
+			d.withdraw(entry)
 			delete(d.entries, name)
 		}
 	}
@@ -214,15 +205,6 @@
 	return len(live)
 }
 
-// agreed tells whether the server is suspected from a majority of the data centres with live entries, and from two if there are two.
-func (d *Detector) agreed(s *suspect, live int) bool {
-	from := make(map[inventory.DataCentre]struct{})
-	for name := range s.reporters {
-		from[d.entries[name].dataCentre] = struct{}{}
-	}
-	return len(from) >= majority(live)
-}
-
 // dead judges a server that enough data centres suspect.
 func (d *Detector) dead(now time.Time, s *suspect, heard time.Time) bool {
 	if s.failing.IsZero() {
--- a/lentilwind/group/group.go
+++ b/lentilwind/group/group.go
@@ -34,6 +34,17 @@
 	return cmp.Or(cmp.Compare(id.Service, other.Service), cmp.Compare(id.Slot, other.Slot))
 }
 
+// ServerID names one backend server of one service.
+type ServerID struct {
+	Service Service `json:"service" cbor:"1,keyasint"`
+	Server  Server  `json:"server" cbor:"2,keyasint"`
+}
+
+// Compare orders servers by service, then by name.
+func (id ServerID) Compare(other ServerID) int {
+	return cmp.Or(cmp.Compare(id.Service, other.Service), cmp.Compare(id.Server, other.Server))
+}
+
 // Role is what a member does in its group.
 type Role string
 
--- a/lentilwind/roster/announce.go
+++ b/lentilwind/roster/announce.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lentilwind.dev/lentilwind/group"
 	"lentilwind.dev/lentilwind/protocol"
 )
 
@@ -20,7 +21,7 @@
 
 // Announce takes in what a server says of itself.
 func (r *Roster) Announce(now time.Time, a protocol.Announcement) (protocol.AnnounceReply, Outcome) {
-	id := ServerID{Service: a.Service, Server: a.Server}
+	id := group.ServerID{Service: a.Service, Server: a.Server}
 	server, listed := r.servers[id]
 	if !listed {
 		r.announceUnknown(now, id, a)
@@ -37,7 +38,7 @@
 	return protocol.AnnounceReply{MayStop: r.mayStop(now, server)}, OutcomeAccepted
 }
 
-func (r *Roster) announceUnknown(now time.Time, id ServerID, a protocol.Announcement) {
+func (r *Roster) announceUnknown(now time.Time, id group.ServerID, a protocol.Announcement) {
 	server := r.unknown[id]
 	if server == nil {
 		server = &Server{ID: id, DataCentre: a.DataCentre, Health: protocol.HealthUnknown}
--- a/lentilwind/roster/roster.go
+++ b/lentilwind/roster/roster.go
@@ -37,15 +37,9 @@
 	}
 }
 
-// ServerID names one backend server.
-type ServerID struct {
-	Service group.Service
-	Server  group.Server
-}
-
 // Server is what the roster holds of one backend server.
 type Server struct {
-	ID         ServerID
+	ID         group.ServerID
 	DataCentre inventory.DataCentre
 	Health     protocol.Health
 	FailsWith  []group.Server
@@ -68,8 +62,8 @@
 	started time.Time
 	changes changeLog
 
-	servers map[ServerID]*Server
-	unknown map[ServerID]*Server
+	servers map[group.ServerID]*Server
+	unknown map[group.ServerID]*Server
 	entries map[inventory.InstanceName]*entry
 	groups  map[group.ID]group.Configuration
 	// moved is the time of the last change of a primary in each service.
@@ -79,14 +73,14 @@
 	settled bool
 }
 
-// New returns the roster of a leader that begins now.
-func New(cfg Config, leaderTerm uint64, now time.Time) *Roster {
+// New returns the roster of a leader that begins now; first must be newer than any version that the same term has given out.
+func New(cfg Config, first protocol.TopologyVersion, now time.Time) *Roster {
 	return &Roster{
 		cfg:       cfg,
 		started:   now,
-		changes:   changeLog{term: leaderTerm, limit: cfg.MaxChanges},
-		servers:   make(map[ServerID]*Server),
-		unknown:   make(map[ServerID]*Server),
+		changes:   changeLog{term: first.LeaderTerm, count: first.Count, limit: cfg.MaxChanges},
+		servers:   make(map[group.ServerID]*Server),
+		unknown:   make(map[group.ServerID]*Server),
 		entries:   make(map[inventory.InstanceName]*entry),
 		groups:    make(map[group.ID]group.Configuration),
 		moved:     make(map[group.Service]time.Time),
@@ -124,10 +118,10 @@
 }
 
 func (r *Roster) setServers(now time.Time, inv *inventory.Inventory) {
-	listed := make(map[ServerID]inventory.DataCentre)
+	listed := make(map[group.ServerID]inventory.DataCentre)
 	for _, service := range inv.Services {
 		for _, database := range service.Databases {
-			listed[ServerID{Service: service.Name, Server: database.Name}] = database.DataCentre
+			listed[group.ServerID{Service: service.Name, Server: database.Name}] = database.DataCentre
 		}
 	}
 	for id, server := range r.servers {
@@ -144,7 +138,7 @@
 }
 
 // list adds a server that the inventory names, with what an unknown one of this name has announced.
-func (r *Roster) list(now time.Time, id ServerID, dc inventory.DataCentre) {
+func (r *Roster) list(now time.Time, id group.ServerID, dc inventory.DataCentre) {
 	server := r.servers[id]
 	if server == nil {
 		server = r.unknown[id]
@@ -188,7 +182,7 @@
 }
 
 // SetFailsWith publishes which servers tend to vanish together with one.
-func (r *Roster) SetFailsWith(id ServerID, names []group.Server) {
+func (r *Roster) SetFailsWith(id group.ServerID, names []group.Server) {
 	server := r.servers[id]
 	if server == nil || slices.Equal(server.FailsWith, names) {
 		return
--- a/lentilwind/roster/roster_test.go
+++ b/lentilwind/roster/roster_test.go
@@ -36,7 +36,7 @@
 }
 
 func newClock() *clock {
-	c := &clock{Roster: roster.New(cfg, 7, start), now: start}
+	c := &clock{Roster: roster.New(cfg, protocol.TopologyVersion{LeaderTerm: 7}, start), now: start}
 	c.SetInventory(start, fleet())
 	return c
 }
@@ -63,7 +63,7 @@
 }
 
 func (c *clock) health(server group.Server) protocol.Health {
-	state, _ := c.Server(roster.ServerID{Service: "s", Server: server})
+	state, _ := c.Server(group.ServerID{Service: "s", Server: server})
 	return state.Health
 }
 
@@ -96,7 +96,7 @@
 		t.Errorf("got %s and %s", r.health("a"), r.health("b"))
 	}
 	silenced := r.pass(5 * time.Second)
-	want := []roster.Silenced{{ID: roster.ServerID{Service: "s", Server: "a"}}, {ID: roster.ServerID{Service: "s", Server: "b"}, WasLeaving: true}}
+	want := []roster.Silenced{{ID: group.ServerID{Service: "s", Server: "a"}}, {ID: group.ServerID{Service: "s", Server: "b"}, WasLeaving: true}}
 	if diff := cmp.Diff(want, silenced); diff != "" {
 		t.Error(diff)
 	}
@@ -215,7 +215,7 @@
 	old := newClock()
 	old.announce(protocol.Announcement{Server: "a"})
 	version := old.Version()
-	r := &clock{Roster: roster.New(cfg, 8, start), now: start}
+	r := &clock{Roster: roster.New(cfg, protocol.TopologyVersion{LeaderTerm: 8}, start), now: start}
 	r.SetInventory(start, fleet())
 	if topology := r.Topology(version); topology.Full || len(topology.Servers) != 0 {
 		t.Errorf("a new leader told %+v", topology)
--- a/lentilwind/roster/tick.go
+++ b/lentilwind/roster/tick.go
@@ -11,14 +11,9 @@
 	"lentilwind.dev/lentilwind/protocol"
 )
 
-// Compare orders servers by service, then by name.
-func (id ServerID) Compare(other ServerID) int {
-	return cmp.Or(cmp.Compare(id.Service, other.Service), cmp.Compare(id.Server, other.Server))
-}
-
 // Silenced is a server that stopped to announce itself.
 type Silenced struct {
-	ID ServerID
+	ID group.ServerID
 	// WasLeaving tells that it had asked for no new work, so that its end is no failure.
 	WasLeaving bool
 }
@@ -57,7 +52,7 @@
 }
 
 // Server returns what is known of a listed server; the result must not be changed.
-func (r *Roster) Server(id ServerID) (Server, bool) {
+func (r *Roster) Server(id group.ServerID) (Server, bool) {
 	server, found := r.servers[id]
 	if !found {
 		return Server{}, false
@@ -68,7 +63,7 @@
 // Servers returns the state of all servers, the unknown ones included, ordered by service and name.
 func (r *Roster) Servers() []protocol.ServerState {
 	var states []protocol.ServerState
-	for _, servers := range []map[ServerID]*Server{r.servers, r.unknown} {
+	for _, servers := range []map[group.ServerID]*Server{r.servers, r.unknown} {
 		for _, server := range servers {
 			states = append(states, server.state())
 		}
@@ -99,8 +94,8 @@
 	return true
 }
 
-// EntryReports returns the last report of an entry.
-func (r *Roster) EntryReports(name inventory.InstanceName) (protocol.EntryReport, bool) {
+// EntryReport returns the last report of an entry.
+func (r *Roster) EntryReport(name inventory.InstanceName) (protocol.EntryReport, bool) {
 	e, found := r.entries[name]
 	if !found {
 		return protocol.EntryReport{}, false
--- a/lentilwind/roster/topology.go
+++ b/lentilwind/roster/topology.go
@@ -13,7 +13,7 @@
 // change names what changed; exactly one field is set.
 type change struct {
 	group  group.ID
-	server ServerID
+	server group.ServerID
 	entry  inventory.InstanceName
 }
 
@@ -82,7 +82,7 @@
 		switch {
 		case c.entry != "":
 			topology.Entries = append(topology.Entries, r.entryState(c.entry))
-		case c.server != ServerID{}:
+		case c.server != group.ServerID{}:
 			topology.Servers = append(topology.Servers, r.serverState(c.server))
 		default:
 			if configuration, found := r.groups[c.group]; found {
@@ -101,7 +101,7 @@
 	return protocol.EntryState{Name: name, Health: protocol.HealthUnknown}
 }
 
-func (r *Roster) serverState(id ServerID) protocol.ServerState {
+func (r *Roster) serverState(id group.ServerID) protocol.ServerState {
 	if server := r.servers[id]; server != nil {
 		return server.state()
 	}
