--- a/bench/internal/experiment/experiment.go
+++ b/bench/internal/experiment/experiment.go
@@ -53,7 +53,8 @@
 	// watchers are callers with keys that are being withdrawn.
 	watchers sync.WaitGroup
 
-	mu sync.Mutex
+	mu  sync.Mutex
+	run checker.Run
 }
 
 // Run starts a fleet, offers the load, brings about the faults, stops all and judges what was recorded.
