--- /dev/null
+++ b/lentilwind/journal/bag_test.go
@@ -0,0 +1,263 @@
+package journal_test
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"lentilwind.dev/lentilwind/journal"
+)
+
+const (
+	heartbeat = 100 * time.Millisecond
+	election  = 250 * time.Millisecond
+	maxBag    = 100
+)
+
+// place is an entry's index and term.
+type place struct {
+	index journal.Index
+	term  journal.Term
+}
+
+// path is the way from one member to another.
+type path struct {
+	from, to journal.MemberID
+}
+
+// node is one member with its disk, its drifting clock and the effects that it has not carried out yet.
+type node struct {
+	id      journal.MemberID
+	machine *journal.Machine
+	disk    journal.Persisted
+	queue   []journal.Effect
+	rate    float64
+	applied journal.Index
+	state   uint64
+}
+
+// bag holds the messages on their way and checks the promises of the journal after every step.
+type bag struct {
+	random    *rand.Rand
+	odds      odds
+	fault     string
+	reuseID   bool
+	wiped     journal.MemberID
+	elapsed   time.Duration
+	nodes     []*node
+	nextID    journal.MemberID
+	messages  []journal.Message
+	cut       map[path]bool
+	committed map[journal.Index]journal.Entry
+	last      journal.Index
+	states    map[journal.Index]uint64
+	entries   map[place]string
+	leaders   map[journal.Term]journal.MemberID
+	counts    map[string]int
+	failure   string
+}
+
+func newBag(seed uint64, fault string, voters int) *bag {
+	b := &bag{
+		random: rand.New(rand.NewPCG(seed, 1)), fault: fault, cut: map[path]bool{},
+		committed: map[journal.Index]journal.Entry{}, states: map[journal.Index]uint64{0: 0},
+		entries: map[place]string{}, leaders: map[journal.Term]journal.MemberID{}, counts: map[string]int{},
+	}
+	b.odds = drawOdds(b.random)
+	var first journal.Membership
+	for range voters {
+		first.Members = append(first.Members, journal.Member{ID: b.addNode().id})
+	}
+	for _, n := range b.nodes {
+		n.disk.Snapshot = journal.Snapshot{Membership: first}
+		b.start(n)
+	}
+	for range 2 {
+		b.start(b.addNode())
+	}
+	return b
+}
+
+func (b *bag) addNode() *node {
+	b.nextID++
+	n := &node{id: b.nextID, rate: 0.955 + 0.09*b.random.Float64()}
+	b.nodes = append(b.nodes, n)
+	return n
+}
+
+func (b *bag) now(n *node) time.Time {
+	return time.Unix(0, 0).Add(time.Duration(float64(b.elapsed) * n.rate))
+}
+
+func (b *bag) start(n *node) {
+	cfg := journal.Config{
+		ID: n.id, Heartbeat: heartbeat, Election: election, SnapshotEntries: 6, KeepEntries: 2, ChunkBytes: 3, BatchBytes: b.odds.batchBytes,
+		Random: b.random,
+	}
+	n.machine = journal.New(journal.WithFault(cfg, b.fault), n.disk, b.now(n))
+	n.applied, n.state, n.queue = n.disk.Snapshot.Index, decodeState(n.disk.Snapshot.Data), nil
+}
+
+func decodeState(data []byte) uint64 {
+	return binary.BigEndian.Uint64(append(make([]byte, 8-len(data)), data...))
+}
+
+func (b *bag) fail(format string, args ...any) {
+	if b.failure == "" {
+		b.failure = fmt.Sprintf(format, args...)
+	}
+}
+
+// take queues a machine's effects and checks what they reveal.
+func (b *bag) take(n *node, effects []journal.Effect) {
+	n.queue = append(n.queue, effects...)
+	if n.machine.Role() == journal.RoleLeader {
+		if other, found := b.leaders[n.machine.Term()]; found && other != n.id {
+			b.fail("%d and %d both lead term %d", other, n.id, n.machine.Term())
+		}
+		b.leaders[n.machine.Term()] = n.id
+		b.checkLeader(n)
+	}
+	for _, effect := range effects {
+		if save, isSave := effect.(journal.Save); isSave {
+			b.checkMatching(n, save.Entries)
+		}
+	}
+	b.checkLease()
+}
+
+// checkLeader finds a leader that lacks what is final, or that counts on entries which a member does not hold.
+func (b *bag) checkLeader(n *node) {
+	newest := true
+	for _, other := range b.nodes {
+		newest = newest && (other.machine == nil || other.machine.Term() <= n.machine.Term())
+	}
+	if term, held := n.machine.TermAt(b.last); newest && (!held || term != b.committed[b.last].Term) && b.last > n.machine.Snapshot().Index {
+		b.fail("%d leads term %d without entry %d", n.id, n.machine.Term(), b.last)
+	}
+	for _, progress := range n.machine.Progress() {
+		other := b.find(progress.Member.ID)
+		if other == nil || other.machine == nil || other.machine.Term() != n.machine.Term() || progress.Matched <= other.machine.Snapshot().Index {
+			continue
+		}
+		want, known := n.machine.TermAt(progress.Matched)
+		if term, held := other.machine.TermAt(progress.Matched); known && (!held || term != want) {
+			b.fail("%d counts on entry %d, which %d does not hold", n.id, progress.Matched, other.id)
+		}
+	}
+}
+
+// checkMatching finds two entries with one index and term that differ in themselves or in what stands before them.
+func (b *bag) checkMatching(n *node, entries []journal.Entry) {
+	for _, e := range entries {
+		before, _ := n.machine.TermAt(e.Index - 1)
+		text := fmt.Sprint(before, e.Kind, string(e.Data))
+		if seen, found := b.entries[place{e.Index, e.Term}]; found && before != 0 && seen != text {
+			b.fail("entry %d of term %d differs between logs", e.Index, e.Term)
+		}
+		if before != 0 || e.Index == 1 {
+			b.entries[place{e.Index, e.Term}] = text
+		}
+	}
+}
+
+// checkLease finds two leases at once and a lease whose holder lacks what has been acknowledged.
+func (b *bag) checkLease() {
+	holder := journal.MemberID(0)
+	for _, n := range b.nodes {
+		if n.machine == nil {
+			continue
+		}
+		if _, held := n.machine.Lease(b.now(n)); !held {
+			continue
+		}
+		b.counts["leases"]++
+		if holder != 0 || n.machine.Committed() < b.last {
+			b.fail("%d holds a lease beside %d with %d of %d entries", n.id, holder, n.machine.Committed(), b.last)
+		}
+		holder = n.id
+	}
+}
+
+// carryOut does the oldest effect of a node.
+func (b *bag) carryOut(n *node) {
+	effect := n.queue[0]
+	n.queue = n.queue[1:]
+	switch effect := effect.(type) {
+	case journal.Save:
+		n.disk.HardState = effect.HardState
+		n.save(effect.Entries)
+	case journal.SaveSnapshot:
+		n.disk.Snapshot, n.disk.Entries = effect.Snapshot, slices.Clone(effect.Entries)
+	case journal.Send:
+		if len(b.messages) == maxBag {
+			i := b.random.IntN(maxBag)
+			b.messages = slices.Delete(b.messages, i, i+1)
+		}
+		b.messages = append(b.messages, effect.Message)
+	case journal.Commit:
+		b.apply(n, effect.Entries)
+	case journal.Restore:
+		b.counts["restores"]++
+		n.applied, n.state = effect.Snapshot.Index, decodeState(effect.Snapshot.Data)
+		b.checkState(n)
+	case journal.TakeSnapshot:
+		b.take(n, n.machine.Compact(n.applied, binary.BigEndian.AppendUint64(nil, n.state)))
+	case journal.Lead:
+		b.counts["leaders"]++
+	}
+}
+
+func (n *node) save(entries []journal.Entry) {
+	if len(entries) > 0 {
+		keep := int(entries[0].Index - n.disk.Snapshot.Index - 1)
+		n.disk.Entries = append(slices.Clone(n.disk.Entries[:keep]), entries...)
+	}
+}
+
+func (b *bag) apply(n *node, entries []journal.Entry) {
+	for _, e := range entries {
+		if known, found := b.committed[e.Index]; found && (known.Term != e.Term || string(known.Data) != string(e.Data)) {
+			b.fail("%d committed entry %d of term %d, which was committed in term %d", n.id, e.Index, e.Term, known.Term)
+		}
+		if e.Index != n.applied+1 {
+			b.fail("%d applied entry %d after %d", n.id, e.Index, n.applied)
+		}
+		b.committed[e.Index] = e
+		b.last = max(b.last, e.Index)
+		b.counts[string(e.Kind)]++
+		sum := fnv.New64a()
+		_, _ = fmt.Fprint(sum, n.state, e)
+		n.applied, n.state = e.Index, sum.Sum64()
+		b.checkState(n)
+	}
+}
+
+func (b *bag) checkState(n *node) {
+	if state, found := b.states[n.applied]; found && state != n.state {
+		b.fail("%d has another state at %d", n.id, n.applied)
+	}
+	b.states[n.applied] = n.state
+}
+
+// crash loses what a node has not carried out, but perhaps for some saves that were on their way to the disk.
+func (b *bag) crash(n *node) {
+	for _, effect := range n.queue {
+		save, isSave := effect.(journal.Save)
+		if !isSave || b.random.IntN(2) == 0 {
+			break
+		}
+		n.disk.HardState = save.HardState
+		whole := len(save.Entries)
+		written := b.random.IntN(whole + 1)
+		n.save(save.Entries[:written])
+		if written < whole {
+			break
+		}
+	}
+	n.machine, n.queue = nil, nil
+	b.counts["crashes"]++
+}
--- /dev/null
+++ b/lentilwind/journal/export_test.go
@@ -0,0 +1,16 @@
+package journal
+
+// Faults lists every deliberate defect.
+var Faults = []string{
+	string(faultStaleTerm), string(faultSendBeforeSave), string(faultLearnerCounted),
+	string(faultDisloyalVoter),
+}
+
+// WithFault returns a configuration with a deliberate defect; an empty one sets none.
+func WithFault(cfg Config, name string) Config {
+	cfg.fault = fault(name)
+	return cfg
+}
+
+// TermAt returns the term of an entry that the machine holds.
+func (m *Machine) TermAt(index Index) (Term, bool) { return m.log.term(index) }
