Failover of stand-in databases end to end, and unit tests of the machine

Cause: the machine had met only a model of databases. Found and mended: the back-off was reset by a primary that had served long ago; a member address that two servers announce counted for both.

--- /dev/null
+++ b/control/internal/failover/fleet_test.go
@@ -0,0 +1,280 @@
+package failover_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"golang.org/x/sync/errgroup"
+
+	"lentilwind.dev/bench/database"
+	"lentilwind.dev/bench/relay"
+	"lentilwind.dev/control/internal/failover"
+	"lentilwind.dev/control/internal/monitor"
+	"lentilwind.dev/control/internal/roster"
+	"lentilwind.dev/instance/events"
+	"lentilwind.dev/instance/timer"
+	"lentilwind.dev/lentilwind/affinity"
+	"lentilwind.dev/lentilwind/catalog"
+	decisions "lentilwind.dev/lentilwind/failover"
+	"lentilwind.dev/lentilwind/group"
+	"lentilwind.dev/lentilwind/hlc"
+	"lentilwind.dev/lentilwind/protocol"
+	decidedRoster "lentilwind.dev/lentilwind/roster"
+)
+
+const (
+	service     = group.Service("inventario-1")
+	testTimeout = 60 * time.Second
+)
+
+var (
+	names = []group.Server{"inv1-a", "inv1-b", "inv1-c"}
+	slot0 = group.ID{Service: service}
+)
+
+// process is one control process.
+type process struct {
+	ledger *ledger
+	roster *roster.Service
+}
+
+// node is one stand-in database behind a relay that can cut it off.
+type node struct {
+	server  *database.Server
+	network *relay.Network
+	relay   *relay.TCP
+	address netip.AddrPort
+	target  netip.AddrPort
+}
+
+// fleet is one service, the control processes and an entry in each of three data centres.
+type fleet struct {
+	t         *testing.T
+	ctx       context.Context
+	store     *store
+	processes []*process
+	nodes     map[group.Server]*node
+
+	mu     sync.Mutex
+	hidden map[group.Server]bool
+}
+
+func inventoryDocument() string {
+	var databases, instances []string
+	for i, name := range names {
+		databases = append(databases, fmt.Sprintf(`{"name": %q, "dataCentre": "dc%d"}`, name, i+1))
+		instances = append(instances, fmt.Sprintf(`{"name": "entry-%d", "dataCentre": "dc%d"}`, i+1, i+1))
+	}
+	return fmt.Sprintf(`{"regions": [{"name": "andina", "dataCentres": ["dc1", "dc2", "dc3"]}],
+		"instances": [%s], "services": [{"name": %q, "slots": 3, "connections": 20, "databases": [%s]}]}`,
+		strings.Join(instances, ","), service, strings.Join(databases, ","))
+}
+
+func startFleet(t *testing.T, processes int) *fleet {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	f := &fleet{t: t, ctx: ctx, store: newStore(), nodes: map[group.Server]*node{}, hidden: map[group.Server]bool{}}
+	g, runCtx := errgroup.WithContext(ctx)
+	for range processes {
+		f.startProcess(runCtx, g)
+	}
+	f.store.lead(f.processes[0].ledger)
+	document := catalog.ApplyInventory{Operation: "1", Document: inventoryDocument()}
+	if result, err := f.processes[0].ledger.Propose(ctx, catalog.Command{ApplyInventory: &document}); err != nil || result.Outcome != catalog.OutcomeAccepted {
+		t.Fatal(result, err)
+	}
+	f.startDatabases()
+	f.startEntries(runCtx, g)
+	t.Cleanup(func() {
+		cancel()
+		if err := g.Wait(); err != nil {
+			t.Error(err)
+		}
+	})
+	return f
+}
+
+func (f *fleet) startProcess(ctx context.Context, g *errgroup.Group) {
+	recorder, err := events.Open("", "control", &hlc.Clock{})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	p := &process{ledger: &ledger{f.store}, roster: roster.New(decidedRoster.DefaultConfig())}
+	timers, databases := timer.NewService(), monitor.New(monitor.DefaultConfig())
+	s := failover.New(failover.Config{
+		Ledger: p.ledger, Roster: p.roster, Monitor: databases, Timer: timers, Events: recorder,
+		Log:      &log.Logger{Level: log.PanicLevel},
+		Group:    decisions.DefaultConfig(),
+		Detector: decisions.DefaultDetectorConfig(),
+		Affinity: affinity.DefaultConfig(),
+	})
+	g.Go(func() error { return timers.Run(ctx) })
+	g.Go(func() error {
+		defer databases.Close()
+		return s.Run(ctx)
+	})
+	f.processes = append(f.processes, p)
+}
+
+func (f *fleet) startDatabases() {
+	announcements := httptest.NewServer(http.HandlerFunc(f.announce))
+	f.t.Cleanup(announcements.Close)
+	servers, err := database.StartService(database.Config{Service: service, Announce: []string{announcements.URL}}, names...)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { _ = servers.Close() })
+	for i, name := range names {
+		n := &node{server: servers[i], network: relay.NewNetwork(func(netip.Addr) relay.Zone { return "" })}
+		n.target = netip.MustParseAddrPort(servers[i].Address())
+		n.address = freeAddress(f.t)
+		f.mu.Lock()
+		f.nodes[name] = n
+		f.mu.Unlock()
+		f.open(n)
+		f.t.Cleanup(func() {
+			n.network.Heal()
+			_ = n.relay.Close()
+		})
+	}
+}
+
+// freeAddress returns a loopback address that nothing listens on.
+func freeAddress(t *testing.T) netip.AddrPort {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+func (f *fleet) open(n *node) {
+	tcp, err := relay.ListenTCP(n.network, n.address, n.target)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n.relay = tcp
+}
+
+// announce passes an announcement on to the leader, with the address of the relay.
+func (f *fleet) announce(w http.ResponseWriter, r *http.Request) {
+	var a protocol.Announcement
+	if err := json.NewDecoder(r.Body).Decode(&a); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	f.mu.Lock()
+	hidden, n := f.hidden[a.Server], f.nodes[a.Server]
+	if n != nil {
+		a.Address = n.address.String()
+	}
+	f.mu.Unlock()
+	if hidden || n == nil {
+		http.Error(w, "cut off", http.StatusServiceUnavailable)
+		return
+	}
+	for _, p := range f.processes {
+		if reply, err := p.roster.Announce(time.Now(), a); err == nil {
+			_ = json.NewEncoder(w).Encode(reply)
+			return
+		}
+	}
+	http.Error(w, "no leader", http.StatusServiceUnavailable)
+}
+
+// kill ends a server, so that its port refuses connections.
+func (f *fleet) kill(name group.Server) {
+	n := f.nodes[name]
+	if err := n.server.Crash(); err != nil {
+		f.t.Error(err)
+	}
+	_ = n.relay.Close()
+}
+
+// cut makes a server silent in both directions; it runs on without knowing.
+func (f *fleet) cut(name group.Server, cut bool) {
+	f.mu.Lock()
+	f.hidden[name] = cut
+	f.mu.Unlock()
+	f.nodes[name].network.Set("", "", relay.Fault{Cut: cut})
+}
+
+// topology returns the newest configuration of the first group as the leader publishes it.
+func (f *fleet) topology() group.Configuration {
+	for _, p := range f.processes {
+		if topology := p.roster.Topology(protocol.TopologyVersion{}); topology != nil {
+			for _, configuration := range topology.Groups {
+				if configuration.Group == slot0 {
+					return configuration
+				}
+			}
+		}
+	}
+	return group.Configuration{}
+}
+
+// await polls until a condition holds.
+func (f *fleet) await(what string, holds func() bool) {
+	f.t.Helper()
+	for !holds() {
+		select {
+		case <-f.ctx.Done():
+			f.t.Fatalf("%s: not in time", what)
+		case <-time.After(2 * time.Millisecond):
+		}
+	}
+}
+
+// awaitPrimary waits for a published primary in a term above one and returns it.
+func (f *fleet) awaitPrimary(above group.Term) group.Configuration {
+	f.t.Helper()
+	var found group.Configuration
+	f.await("a primary", func() bool {
+		found = f.topology()
+		return found.Term > above && found.Primary != ""
+	})
+	return found
+}
+
+// awaitFollowers waits until every member holds a log as long as the primary's in its term.
+func (f *fleet) awaitFollowers() {
+	f.t.Helper()
+	f.await("all members follow", func() bool {
+		configuration := f.topology()
+		if configuration.Primary == "" {
+			return false
+		}
+		primary, _ := f.nodes[configuration.Primary].server.Status(0)
+		for _, n := range f.nodes {
+			status, running := n.server.Status(0)
+			if !running || status.Term != configuration.Term || status.Received != primary.Received {
+				return false
+			}
+		}
+		return primary.Role == group.RolePrimary
+	})
+}
+
+// silentServers returns how many servers get no new work.
+func (f *fleet) silentServers() int {
+	silent := 0
+	for _, server := range f.processes[0].roster.Servers() {
+		if server.Health == protocol.HealthSilent {
+			silent++
+		}
+	}
+	return silent
+}
--- a/control/internal/monitor/connection.go
+++ b/control/internal/monitor/connection.go
@@ -15,6 +15,9 @@
 
 const closeTimeout = 100 * time.Millisecond
 
+// parameterServer is the status parameter in which a database may tell its name, against reused addresses.
+const parameterServer = "lentilwind.server"
+
 // dial opens a monitoring connection.
 func dial(ctx context.Context, target Target) (*pgconn.PgConn, error) {
 	address, err := netip.ParseAddrPort(target.Address)
@@ -33,7 +36,15 @@
 	cfg.RuntimeParams = map[string]string{}
 	cfg.Fallbacks = nil
 	cfg.ConnectTimeout = 0
-	return pgconn.ConnectConfig(ctx, cfg)
+	conn, err := pgconn.ConnectConfig(ctx, cfg)
+	if err != nil {
+		return nil, err
+	}
+	if name := conn.ParameterStatus(parameterServer); name != "" && name != string(target.ID.Server) {
+		closeConn(conn)
+		return nil, fmt.Errorf("%s answers at the address of %s", name, target.ID.Server)
+	}
+	return conn, nil
 }
 
 func closeConn(conn *pgconn.PgConn) {
--- a/control/internal/roster/service.go
+++ b/control/internal/roster/service.go
@@ -67,11 +67,11 @@
 // signal wakes those that wait for a change; the lock is held.
 func (s *Service) signal() {
 	if s.current != nil {
-		if version := s.current.Version(); version != s.version {
-			s.version = version
-		} else {
+		version := s.current.Version()
+		if version == s.version {
 			return
 		}
+		s.version = version
 	}
 	close(s.changed)
 	s.changed = make(chan struct{})
--- a/lentilwind/failover/begin.go
+++ b/lentilwind/failover/begin.go
@@ -31,8 +31,11 @@
 		m.refuse(now, fmt.Sprintf("%d of %d members are reachable", n, len(m.members)))
 		return
 	}
-	stable := !m.settledAt.IsZero() && now.Sub(m.settledAt) >= m.cfg.StableAfter
-	m.backoff.raise(now, m.cfg, stable)
+	if m.config.Term > 0 {
+		stable := !m.settledAt.IsZero() && now.Sub(m.settledAt) >= m.cfg.StableAfter
+		m.backoff.raise(now, m.cfg, stable)
+		m.settledAt = time.Time{}
+	}
 	if m.config.Primary != "" {
 		m.previous = m.config.Primary
 	}
--- a/lentilwind/failover/machine.go
+++ b/lentilwind/failover/machine.go
@@ -57,6 +57,7 @@
 	handover handover
 	backoff  backoff
 
+	// settledAt is the time since which the primary serves; zero while a failover is under way.
 	settledAt   time.Time
 	refusedAt   time.Time
 	firstMember time.Time
--- a/lentilwind/roster/announce.go
+++ b/lentilwind/roster/announce.go
@@ -32,12 +32,25 @@
 	}
 	moved := server.Last.Address != a.Address
 	server.Heard, server.Last = now, a
+	if moved {
+		r.takeAddress(server)
+	}
 	if !r.judge(now, server) && moved {
 		r.changes.add(change{server: id})
 	}
 	return protocol.AnnounceReply{MayStop: r.mayStop(now, server)}, OutcomeAccepted
 }
 
+// takeAddress gives an address to the server that announced it last, so that no two are reached under the same one.
+func (r *Roster) takeAddress(owner *Server) {
+	for id, server := range r.servers {
+		if server != owner && server.Last.Address != "" && server.Last.Address == owner.Last.Address {
+			server.Last.Address = ""
+			r.changes.add(change{server: id})
+		}
+	}
+}
+
 func (r *Roster) announceUnknown(now time.Time, id group.ServerID, a protocol.Announcement) {
 	server := r.unknown[id]
 	if server == nil {
--- a/lentilwind/roster/roster_test.go
+++ b/lentilwind/roster/roster_test.go
@@ -45,7 +45,7 @@
 	c.sequence++
 	a.Service, a.Sequence = "s", c.sequence
 	if a.Address == "" {
-		a.Address = "127.0.0.1:1"
+		a.Address = "address of " + string(a.Server)
 	}
 	return c.Announce(c.now, a)
 }
@@ -227,6 +227,19 @@
 	}
 }
 
+func TestAddressBelongsToTheServerThatAnnouncedItLast(t *testing.T) {
+	r := newClock()
+	r.announce(protocol.Announcement{Server: "a", Address: "x"})
+	r.announce(protocol.Announcement{Server: "b", Address: "x"})
+	got := map[group.Server]string{}
+	for _, server := range r.Servers() {
+		got[server.Server] = server.Address
+	}
+	if diff := cmp.Diff(map[group.Server]string{"a": "", "b": "x"}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
 func TestDrainedWaitsForEveryLiveEntry(t *testing.T) {
 	r := newClock()
 	v1, v2 := protocol.TopologyVersion{LeaderTerm: 7, Count: 1}, protocol.TopologyVersion{LeaderTerm: 7, Count: 2}
