--- a/bench/database/announce_test.go
+++ b/bench/database/announce_test.go
@@ -51,6 +51,7 @@
 		t.Fatal(err)
 	}
 	_ = response.Body.Close()
+	http.DefaultClient.CloseIdleConnections()
 	if f := server.Faults(); !f.RefuseConnections || f.ApplyDelay.String() != "50ms" {
 		t.Errorf("the faults are %+v", f)
 	}
--- a/bench/database/protocol_test.go
+++ b/bench/database/protocol_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"time"
 
@@ -261,3 +262,33 @@
 	eventually(ctx, t, func() bool { return server.Connections() == 0 })
 	mustExec(ctx, t, scoped(ctx, t, server, 0, 1, "read"), "SELECT 1")
 }
+
+func TestConcurrentUpdatesAreNotLost(t *testing.T) {
+	ctx := testContext(t)
+	server := startOne(t, database.Config{})
+	mustExec(ctx, t, scoped(ctx, t, server, 0, 1, "write"), "INSERT INTO stock (key, value) VALUES ('a', 0)")
+	const callers, each = 8, 25
+	var wg sync.WaitGroup
+	for range callers {
+		conn := scoped(ctx, t, server, 0, 1, "write")
+		wg.Go(func() {
+			for range each {
+				err := pgx.BeginFunc(ctx, conn, func(tx pgx.Tx) error {
+					_, err := tx.Exec(ctx, "UPDATE stock SET value = value + 1 WHERE key = 'a'")
+					return err
+				})
+				if err != nil {
+					t.Error(err)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	var value int64
+	if err := scoped(ctx, t, server, 0, 1, "read").QueryRow(ctx, "SELECT value FROM stock").Scan(&value); err != nil {
+		t.Fatal(err)
+	}
+	if value != callers*each {
+		t.Errorf("got %d, want %d", value, callers*each)
+	}
+}
--- /dev/null
+++ b/bench/internal/command/command_test.go
@@ -0,0 +1,55 @@
+package command_test
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"lentilwind.dev/bench/internal/command"
+)
+
+func run(args ...string) (string, error) {
+	root := command.New()
+	var out bytes.Buffer
+	root.SetOut(&out)
+	root.SetArgs(args)
+	err := root.Execute()
+	return out.String(), err
+}
+
+func TestSamplesHaveNoFaults(t *testing.T) {
+	for _, args := range [][]string{
+		{"check-config", "../../samples/database.jsonc"},
+		{"check-config", "--faults", "../../samples/faults.jsonc"},
+	} {
+		if out, err := run(args...); err != nil || !strings.Contains(out, "no faults") {
+			t.Errorf("%v: %q, %v", args, out, err)
+		}
+	}
+}
+
+func TestCheckConfigNamesTheLine(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "bad.jsonc")
+	if err := os.WriteFile(path, []byte("{\n  \"service\": \"s\",\n  \"colour\": 1\n}"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := run("check-config", path); err == nil || !strings.Contains(err.Error(), "line 3") {
+		t.Errorf("got %v", err)
+	}
+}
+
+func TestResultsNeverReplaceOtherFiles(t *testing.T) {
+	folder := t.TempDir()
+	path := filepath.Join(folder, "precious")
+	if err := os.WriteFile(path, []byte("x"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := run("demo", "--out", folder, "--bin", folder); err == nil {
+		t.Error("the demo took a folder of other files")
+	}
+	if _, err := os.Stat(path); err != nil {
+		t.Errorf("the file is gone: %v", err)
+	}
+}
--- a/bench/internal/command/root.go
+++ b/bench/internal/command/root.go
@@ -10,6 +10,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newDatabase(), newDemo(), newRun(), newCompare())
+	root.AddCommand(newDatabase(), newDemo(), newRun(), newCompare(), newCheckConfig())
 	return root
 }
