Checks of withdrawn keys and of requests cut off by planned stops; plots that can be told apart

Cause: two promises had no checker, and plots drew their legend over the lines with colours that repeat. Change: a key that works after the system said it works nowhere, or five seconds after the withdrawal, is a broken promise; so is a request left without an answer by the planned stop of its entry. Plots keep room for the legend and use ten distinct colours. Conclusion: both checkers catch a broken history; go test -race ./checker ./internal/... passes.

--- a/bench/checker/checker.go
+++ b/bench/checker/checker.go
@@ -48,6 +48,8 @@
 	FalseNotRun int `json:"falseNotRun"`
 	// WithdrawnKeys counts requests that ran for a key after the grace of its withdrawal.
 	WithdrawnKeys int `json:"withdrawnKeys"`
+	// CutOffRequests counts requests without an answer in planned stops of entries.
+	CutOffRequests int `json:"cutOffRequests"`
 
 	Requests            int                     `json:"requests"`
 	Outcomes            map[history.Outcome]int `json:"outcomes"`
@@ -74,7 +76,7 @@
 // Broken returns the number of broken promises.
 func (s *Summary) Broken() int {
 	return s.LostWrites + s.DoubledWrites + s.StaleReads + s.MixedWorkspaces + s.KeyLeaks + s.OverQuota +
-		s.FalseNotRun + s.WithdrawnKeys
+		s.FalseNotRun + s.WithdrawnKeys + s.CutOffRequests
 }
 
 // maxFindings bounds the findings of one promise.
@@ -103,6 +105,7 @@
 		OverQuota:        j.overQuota(),
 		FalseNotRun:      j.falseNotRun(),
 		WithdrawnKeys:    j.withdrawnKeys(),
+		CutOffRequests:   j.cutOffRequests(),
 		Requests:         len(j.requests),
 		Outcomes:         make(map[history.Outcome]int),
 		ReplicaReadShare: j.replicaReadShare(),
--- a/bench/checker/checker_test.go
+++ b/bench/checker/checker_test.go
@@ -81,7 +81,7 @@
 }
 
 // promises are the counts of a summary that must be 0.
-type promises struct{ Lost, Doubled, Stale, Mixed, Leaks, Over, FalseNotRun, Withdrawn int }
+type promises struct{ Lost, Doubled, Stale, Mixed, Leaks, Over, FalseNotRun, Withdrawn, CutOff int }
 
 func TestBrokenRunsAreCaught(t *testing.T) {
 	tests := map[string]struct {
@@ -131,9 +131,17 @@
 			r.Requests[1].Outcome, r.Requests[1].Code = history.OutcomeNotRun, "LW001"
 		}, promises{FalseNotRun: 1}},
 		"a withdrawn key still works": {func(r *checker.Run) {
-			r.Faults = []history.Fault{{Time: at(-6000), Kind: checker.FaultWithdrawKey, Target: "k1"}}
+			r.Faults = []history.Fault{{Time: at(-6000), Done: at(10_000), Kind: checker.FaultWithdrawKey, Target: "k1"}}
 			r.Requests[2].Credential = "k1"
 		}, promises{Withdrawn: 1}},
+		"a key works after the withdrawal was said to be done": {func(r *checker.Run) {
+			r.Faults = []history.Fault{{Time: at(900), Done: at(940), Kind: checker.FaultWithdrawKey, Target: "k1"}}
+			r.Requests[2].Credential = "k1"
+		}, promises{Withdrawn: 1}},
+		"a planned stop cuts a request off": {func(r *checker.Run) {
+			r.Faults = []history.Fault{{Time: at(901), Done: at(990), Kind: checker.FaultStop, Target: "e1"}}
+			r.Requests[2].Outcome = history.OutcomeUnknown
+		}, promises{CutOff: 1}},
 		"a refusal by quota stands in the journal": {func(r *checker.Run) {
 			r.Requests[1].Outcome = history.OutcomeQuota
 			r.Databases = r.Databases[:1]
@@ -145,7 +153,7 @@
 			test.spoil(run)
 			s := checker.Check(run)
 			got := promises{
-				s.LostWrites, s.DoubledWrites, s.StaleReads, s.MixedWorkspaces, s.KeyLeaks, s.OverQuota, s.FalseNotRun, s.WithdrawnKeys,
+				s.LostWrites, s.DoubledWrites, s.StaleReads, s.MixedWorkspaces, s.KeyLeaks, s.OverQuota, s.FalseNotRun, s.WithdrawnKeys, s.CutOffRequests,
 			}
 			if diff := cmp.Diff(test.want, got); diff != "" {
 				t.Errorf("%s\n%+v", diff, s.Findings)
--- a/bench/checker/fault.go
+++ b/bench/checker/fault.go
@@ -7,6 +7,9 @@
 	"lentilwind.dev/bench/history"
 )
 
+// FaultStop is a planned stop; its target is the process.
+const FaultStop history.FaultKind = "stop"
+
 // KeyGrace is how long after its withdrawal a key may still work somewhere.
 const KeyGrace = 5 * time.Second
 
@@ -55,16 +58,43 @@
 func (j *judge) withdrawnKeys() int {
 	withdrawn := make(map[string]time.Time)
 	for _, f := range j.run.Faults {
-		if f.Kind == FaultWithdrawKey && f.Error == "" {
-			withdrawn[f.Target] = f.Time
+		if f.Kind != FaultWithdrawKey || f.Error != "" {
+			continue
+		}
+		// The withdrawal is done once the system has said that the key works nowhere.
+		withdrawn[f.Target] = f.Time.Add(KeyGrace)
+		if f.Done.Before(withdrawn[f.Target]) {
+			withdrawn[f.Target] = f.Done
 		}
 	}
 	n := 0
 	for _, r := range j.requests {
 		since, found := withdrawn[string(r.Credential)]
-		if found && r.Outcome.Ran() && r.Invoked.After(since.Add(KeyGrace)) {
-			n += j.find("withdrawnKeys", r.ID, fmt.Sprintf("ran %s after the withdrawal", r.Invoked.Sub(since)))
+		if found && r.Outcome.Ran() && r.Invoked.After(since) {
+			n += j.find("withdrawnKeys", r.ID, fmt.Sprintf("ran %s after the end of the withdrawal", r.Invoked.Sub(since)))
+		}
+	}
+	return n
+}
+
+// cutOffRequests counts requests that a planned stop of their entry left without an answer.
+func (j *judge) cutOffRequests() int {
+	n := 0
+	for _, f := range j.run.Faults {
+		if f.Kind != FaultStop {
+			continue
+		}
+		for _, r := range j.requests {
+			overlaps := r.Entry == f.Target && !r.Completed.Before(f.Time) && !r.Invoked.After(f.Done)
+			if overlaps && j.cutOff(r) {
+				n += j.find("cutOffRequests", r.ID, fmt.Sprintf("ended with %q in the planned stop of %s", r.Code+r.Message, f.Target))
+			}
 		}
 	}
 	return n
 }
+
+// cutOff tells whether a request was taken and then not answered.
+func (j *judge) cutOff(r *history.Request) bool {
+	return r.Outcome == history.OutcomeUnknown || r.Outcome == history.OutcomeStopped && len(j.commits[r.ID]) > 0
+}
--- a/bench/history/request.go
+++ b/bench/history/request.go
@@ -23,6 +23,8 @@
 	OutcomeNoPrimary Outcome = "noPrimary"
 	// OutcomeUnknown was sent, but no valid answer came.
 	OutcomeUnknown Outcome = "unknown"
+	// OutcomeStopped met an entry that was stopping.
+	OutcomeStopped Outcome = "stopped"
 	// OutcomeUnreached never got a connection.
 	OutcomeUnreached Outcome = "unreached"
 )
--- a/bench/internal/experiment/experiment.go
+++ b/bench/internal/experiment/experiment.go
@@ -50,6 +50,8 @@
 	load     *load.Load
 	start    time.Time
 	requests *history.Writer[history.Request]
+	// spareKeys replace those that are withdrawn.
+	spareKeys map[inventory.WorkspaceName]fleet.Key
 	// watchers are callers with keys that are being withdrawn.
 	watchers sync.WaitGroup
 
@@ -98,7 +100,7 @@
 		return err
 	}
 	e.requests = writer
-	if err := e.awaitPrimaries(ctx); err != nil {
+	if err := errors.Join(e.awaitPrimaries(ctx), e.grantSpareKeys(ctx)); err != nil {
 		return errors.Join(err, writer.Close())
 	}
 	err = e.offer(ctx)
--- a/bench/internal/experiment/faults.go
+++ b/bench/internal/experiment/faults.go
@@ -73,7 +73,10 @@
 		return
 	}
 	if waitUntil(ctx, happened.Done.Add(f.For.Std())) {
-		_ = mend(ctx)
+		if err := mend(ctx); err != nil {
+			e.skip(f, "mending failed: "+err.Error())
+			return
+		}
 		e.say("%4.0f s  %s %s is mended", time.Since(e.start).Seconds(), f.Kind, target)
 	}
 }
--- a/bench/internal/experiment/operator.go
+++ b/bench/internal/experiment/operator.go
@@ -22,29 +22,38 @@
 	if !found {
 		return string(f.Workspace), nil, errNoKey
 	}
-	id, workspace := string(old.ID), string(f.Workspace)
-	var created struct {
-		ID  inventory.KeyID `json:"id"`
-		Key string          `json:"key"`
-	}
-	out, err := e.fleet.Lentilctl(ctx, "key", "create", "--workspace", workspace, "--apply")
-	if err != nil {
-		return id, nil, err
-	}
-	if err := json.Unmarshal(out, &created); err != nil {
-		return id, nil, fmt.Errorf("experiment: lentilctl key create: %w", err)
-	}
-	e.addKey(f.Workspace, fleet.Key{ID: created.ID, Key: created.Key})
+	id := string(old.ID)
+	e.load.SetKey(f.Workspace, e.spareKeys[f.Workspace].Key)
 	e.watchers.Go(func() { e.load.WatchKey(ctx, f.Workspace, old.ID, old.Key) })
-	_, err = e.fleet.Lentilctl(ctx, "key", "withdraw", "--workspace", workspace, "--id", id)
+	_, err := e.fleet.Lentilctl(ctx, "key", "withdraw", "--workspace", string(f.Workspace), "--id", id)
 	return id, nil, err
 }
 
-func (e *experiment) addKey(workspace inventory.WorkspaceName, key fleet.Key) {
-	e.mu.Lock()
-	e.run.Keys = append(e.run.Keys, key.Key)
-	e.mu.Unlock()
-	e.load.SetKey(workspace, key.Key)
+// grantSpareKeys gives a second key to each workspace whose first one will be withdrawn.
+func (e *experiment) grantSpareKeys(ctx context.Context) error {
+	e.spareKeys = make(map[inventory.WorkspaceName]fleet.Key)
+	if e.Plan == nil {
+		return nil
+	}
+	for _, f := range e.Plan.Faults {
+		if f.Kind != FaultWithdrawKey {
+			continue
+		}
+		out, err := e.fleet.Lentilctl(ctx, "key", "create", "--workspace", string(f.Workspace), "--apply")
+		if err != nil {
+			return err
+		}
+		var created struct {
+			ID  inventory.KeyID `json:"id"`
+			Key string          `json:"key"`
+		}
+		if err := json.Unmarshal(out, &created); err != nil {
+			return fmt.Errorf("experiment: lentilctl key create: %w", err)
+		}
+		e.spareKeys[f.Workspace] = fleet.Key{ID: created.ID, Key: created.Key}
+		e.run.Keys = append(e.run.Keys, created.Key)
+	}
+	return nil
 }
 
 // changeRule sets the staleness that a route allows.
--- a/bench/internal/experiment/plan.go
+++ b/bench/internal/experiment/plan.go
@@ -20,7 +20,7 @@
 	FaultCutPrimary   history.FaultKind = "cutPrimary"
 	FaultKill         history.FaultKind = "kill"
 	FaultPause        history.FaultKind = "pause"
-	FaultStop         history.FaultKind = "stop"
+	FaultStop                           = checker.FaultStop
 	FaultCut          history.FaultKind = "cut"
 	FaultSilence      history.FaultKind = "silence"
 	FaultLag          history.FaultKind = "lag"
--- a/bench/internal/load/outcome.go
+++ b/bench/internal/load/outcome.go
@@ -18,6 +18,7 @@
 	codeKey       = "LW004"
 	codeNoPrimary = "LW005"
 	codePassword  = "28P01"
+	codeStopping  = "57P01"
 )
 
 var codeOutcomes = map[string]history.Outcome{
@@ -27,6 +28,7 @@
 	codeKey:       history.OutcomeKey,
 	codePassword:  history.OutcomeKey,
 	codeNoPrimary: history.OutcomeNoPrimary,
+	codeStopping:  history.OutcomeStopped,
 }
 
 // classify returns the outcome of a request that was sent on an open connection.
@@ -62,7 +64,7 @@
 func classifyConnect(err error) (outcome history.Outcome, code, message string) {
 	outcome, code, message = classify(err)
 	switch outcome {
-	case history.OutcomeUnknown, history.OutcomeFailed, history.OutcomeOK:
+	case history.OutcomeUnknown, history.OutcomeFailed, history.OutcomeStopped, history.OutcomeOK:
 		outcome = history.OutcomeUnreached
 	}
 	return outcome, code, message
--- a/bench/internal/report/compare.go
+++ b/bench/internal/report/compare.go
@@ -40,6 +40,7 @@
 		{"overQuota", float64(s.OverQuota)},
 		{"falseNotRun", float64(s.FalseNotRun)},
 		{"withdrawnKeys", float64(s.WithdrawnKeys)},
+		{"cutOffRequests", float64(s.CutOffRequests)},
 	}
 }
 
--- a/bench/internal/report/plot.go
+++ b/bench/internal/report/plot.go
@@ -19,8 +19,23 @@
 	plotWidth  = 22 * vg.Centimeter
 	plotHeight = 8 * vg.Centimeter
 	headroom   = 1.1
+	// legendRoom leaves a part of the plot's width free for the legend.
+	legendRoom = 1.2
 )
 
+var colors = []color.RGBA{
+	{R: 31, G: 119, B: 180, A: 255},
+	{R: 255, G: 127, B: 14, A: 255},
+	{R: 44, G: 160, B: 44, A: 255},
+	{R: 214, G: 39, B: 40, A: 255},
+	{R: 148, G: 103, B: 189, A: 255},
+	{R: 140, G: 86, B: 75, A: 255},
+	{R: 227, G: 119, B: 194, A: 255},
+	{R: 60, G: 60, B: 60, A: 255},
+	{R: 188, G: 189, B: 34, A: 255},
+	{R: 23, G: 190, B: 207, A: 255},
+}
+
 // figure is one plot over time.
 type figure struct {
 	Title string
@@ -36,30 +51,36 @@
 
 // svg draws the figure.
 func (f *figure) svg() (template.HTML, error) {
+	p, err := f.plot()
+	if err != nil {
+		return "", err
+	}
+	return render(p)
+}
+
+func (f *figure) plot() (*plot.Plot, error) {
 	p := plot.New()
 	p.X.Label.Text, p.Y.Label.Text = "seconds since the start", f.YLabel
-	p.X.Min, p.Y.Min, p.Y.Max = 0, 0, f.Top
+	p.X.Min, p.X.Max, p.Y.Min, p.Y.Max = 0, 1, 0, f.Top
 	p.Legend.Top = true
 	p.Add(plotter.NewGrid())
 	highest := f.Top
 	for i, s := range f.Lines {
 		line, err := plotter.NewLine(points(s))
 		if err != nil {
-			return "", fmt.Errorf("report: %w", err)
+			return nil, fmt.Errorf("report: %w", err)
 		}
-		line.Color, line.Width = plotutil.Color(i), vg.Points(1.5)
-		line.Dashes = plotutil.Dashes(i / len(plotutil.DefaultColors))
+		line.Color, line.Width = colors[i%len(colors)], vg.Points(1.5)
+		line.Dashes = plotutil.Dashes(i / len(colors))
 		p.Add(line)
 		p.Legend.Add(s.Name, line)
 		for _, pt := range s.Points {
 			highest = max(highest, pt.Y)
+			p.X.Max = max(p.X.Max, pt.X*legendRoom)
 		}
 	}
 	p.Y.Max = max(highest*headroom, p.Y.Max, minTop)
-	if err := addMarks(p, f.Marks); err != nil {
-		return "", err
-	}
-	return render(p)
+	return p, addMarks(p, f.Marks)
 }
 
 const minTop = 1e-3
--- a/bench/internal/report/series.go
+++ b/bench/internal/report/series.go
@@ -41,7 +41,8 @@
 			end = r.Completed
 		}
 	}
-	t.bins = int(end.Sub(t.start)/binWidth) + 1
+	// The last bin is left out unless it is whole.
+	t.bins = max(1, int(end.Sub(t.start)/binWidth))
 	return t
 }
 
