Failover and relay tests of an entry

Cause: the behaviour across a change of primary, and the rewriting of messages, were not tested. Change: tests of a write during a failover, of an entry that missed it, of rewriting and plans, and a fuzz target. Conclusion: a stale entry acknowledges nothing and shows nothing old.

--- /dev/null
+++ b/entry/internal/caller/failover_test.go
@@ -0,0 +1,75 @@
+package caller_test
+
+import (
+	"testing"
+	"time"
+
+	"lentilwind.dev/entry/internal/directory"
+	"lentilwind.dev/lentilwind/session"
+)
+
+func TestWritesGoOnUnderANewPrimary(t *testing.T) {
+	f := newFleet(t, nil)
+	e := f.newEntry()
+	conn := e.connect(t, "")
+	ctx := testContext(t)
+	if _, err := conn.Exec(ctx, insertOrder, "before", 1); err != nil {
+		t.Fatal(err)
+	}
+	f.replace(2, 1, 0, 2)
+	done := make(chan error, 1)
+	go func() {
+		_, err := conn.Exec(ctx, insertOrder, "after", 2)
+		done <- err
+	}()
+	f.await(ctx, func() bool { return f.statements("INSERT") > 1 })
+	f.publish(2, serverName(1))
+	if err := <-done; err != nil {
+		t.Errorf("write during the failover: %v", err)
+	}
+	for key, want := range map[string]int{"before": 1, "after": 2} {
+		var value int
+		if err := conn.QueryRow(ctx, readLookup, key).Scan(&value); err != nil || value != want {
+			t.Errorf("%s: got %d, %v", key, value, err)
+		}
+	}
+}
+
+func TestEntryThatMissedAFailoverAcknowledgesAndShowsNothingOld(t *testing.T) {
+	f := newFleet(t, nil)
+	f.limits.RequestTimeout, f.limits.ConfirmTimeout = 500*time.Millisecond, 500*time.Millisecond
+	current := f.newEntry()
+	published := f.directory
+	f.directory, f.revision, f.count = directory.New(), 0, 0
+	f.directory.ExtendLease(time.Now().Add(time.Hour))
+	f.apply()
+	f.publish(1, serverName(0), serverName(1), serverName(2))
+	stale := f.newEntry()
+	ctx := testContext(t)
+	old := stale.connect(t, "")
+	if _, err := old.Exec(ctx, insertOrder, "a", 1); err != nil {
+		t.Fatal(err)
+	}
+	// The old primary hears of nothing and goes on.
+	f.replace(2, 1, 2)
+	f.directory = published
+	f.publish(2, serverName(1))
+	writer := current.connect(t, "")
+	if _, err := writer.Exec(ctx, "/*route='order'*/ UPDATE stock SET value = 2 WHERE key = 'a'"); err != nil {
+		t.Fatal(err)
+	}
+	_, err := old.Exec(ctx, insertOrder, "b", 1)
+	wantState(t, err, "LW002")
+	var value int
+	for name, sql := range map[string]string{
+		"exact read": "/*route='exact'*/ SELECT value FROM stock WHERE key = $1", "read without a route": "SELECT value FROM stock WHERE key = $1",
+	} {
+		if err := old.QueryRow(ctx, sql, "a").Scan(&value); err == nil {
+			t.Errorf("%s showed %d", name, value)
+		}
+	}
+	roamed := stale.connect(t, writer.PgConn().ParameterStatus(session.ParameterName))
+	if err := roamed.QueryRow(ctx, readLookup, "a").Scan(&value); err == nil && value != 2 {
+		t.Errorf("the session was shown %d", value)
+	}
+}
--- a/entry/internal/caller/harness_test.go
+++ b/entry/internal/caller/harness_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
 
 	"lentilwind.dev/bench/database"
 	"lentilwind.dev/entry/internal/caller"
@@ -55,16 +56,6 @@
 
 func serverName(i int) group.Server { return group.Server(fmt.Sprintf("db-%d", i)) }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
-}
-
 func newFleet(t *testing.T, change func(*database.Config)) *fleet {
 	t.Helper()
 	f := &fleet{t: t, directory: directory.New(), secret: []byte("0123456789abcdef0123456789abcdef")}
@@ -72,29 +63,20 @@
 		Callers: 1000, RequestBytes: 1 << 20, AnswerBytes: 64 << 10, RequestTimeout: 5 * time.Second, AnswerTimeout: 5 * time.Second,
 		ConfirmTimeout: 5 * time.Second, IdleInTransaction: time.Minute, SlowCaller: 5 * time.Second, StartupTimeout: 5 * time.Second,
 	}
-	peers := make(map[group.Server]string)
-	for i := range 3 {
-		peers[serverName(i)] = freeAddress(t)
+	cfg := database.Config{Service: testService, DataCentre: "raquira", Connections: 20, Watch: []string{testKey, otherKey}}
+	if change != nil {
+		change(&cfg)
 	}
-	for i := range 3 {
-		cfg := database.Config{
-			Service: testService, Server: serverName(i), DataCentre: "raquira", Listen: peers[serverName(i)], Connections: 20,
-			Primaries: []group.Server{serverName(0), serverName(0), serverName(0)}, Peers: peers, Watch: []string{testKey, otherKey},
-		}
-		if change != nil {
-			change(&cfg)
-		}
-		server, err := database.Start(cfg)
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { _ = server.Close() })
-		f.databases = append(f.databases, server)
+	service, err := database.StartService(cfg, serverName(0), serverName(1), serverName(2))
+	if err != nil {
+		t.Fatal(err)
 	}
+	t.Cleanup(func() { _ = service.Close() })
+	f.databases = service
 	f.inventory = newInventory()
 	f.directory.ExtendLease(time.Now().Add(time.Hour))
 	f.apply()
-	f.publish(1, serverName(0))
+	f.publish(1, serverName(0), serverName(1), serverName(2))
 	return f
 }
 
@@ -134,13 +116,13 @@
 	f.directory.Apply(&delta, nil)
 }
 
-// publish makes a server the primary of every slot.
-func (f *fleet) publish(term group.Term, primary group.Server) {
+// publish names the primary of each slot, in turn.
+func (f *fleet) publish(term group.Term, primaries ...group.Server) {
 	f.count++
 	topology := protocol.Topology{Version: protocol.TopologyVersion{LeaderTerm: 1, Count: f.count}, Full: true}
 	for slot := range group.Slot(3) {
 		topology.Groups = append(topology.Groups, group.Configuration{
-			Group: group.ID{Service: testService, Slot: slot}, Term: term, Primary: primary,
+			Group: group.ID{Service: testService, Slot: slot}, Term: term, Primary: primaries[int(slot)%len(primaries)],
 		})
 	}
 	for i, db := range f.databases {
@@ -151,6 +133,33 @@
 	f.directory.Apply(nil, &topology)
 }
 
+// askMonitor sends one statement over a monitoring connection.
+func (f *fleet) askMonitor(db int, sql string) {
+	f.t.Helper()
+	ctx := testContext(f.t)
+	conn, err := pgconn.Connect(ctx, "postgres://lentilwind-monitor@"+f.databases[db].Address()+"/"+testService+"?sslmode=disable")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer func() { _ = conn.Close(ctx) }()
+	if _, err := conn.Exec(ctx, sql).ReadAll(); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// replace makes another server the primary of slot 0, as control does.
+func (f *fleet) replace(term group.Term, primary int, followers ...int) {
+	f.t.Helper()
+	for _, db := range append(followers, primary) {
+		f.askMonitor(db, fmt.Sprintf("SELECT lentilwind_fence(0, %d)", term))
+	}
+	status, _ := f.databases[primary].Status(0)
+	f.askMonitor(primary, fmt.Sprintf("SELECT lentilwind_promote(0, %d, %d)", term, status.Received))
+	for _, db := range followers {
+		f.askMonitor(db, fmt.Sprintf("SELECT lentilwind_follow(0, %d, '%s')", term, f.databases[primary].Address()))
+	}
+}
+
 // entry is one entry of the fleet.
 type entry struct {
 	server *caller.Server
--- a/entry/internal/caller/refusal_test.go
+++ b/entry/internal/caller/refusal_test.go
@@ -146,7 +146,7 @@
 	f.directory = directory.New()
 	f.directory.ExtendLease(time.Now().Add(time.Second))
 	f.apply()
-	f.publish(1, serverName(0))
+	f.publish(1, serverName(0), serverName(1), serverName(2))
 	e := f.newEntry()
 	conn := e.connect(t, "")
 	ctx := testContext(t)
@@ -200,12 +200,9 @@
 	}
 	_, err := conn.Exec(testContext(t), "/*route='order'*/ INSERT INTO stock (key, value) VALUES ('a', 1)")
 	wantState(t, err, "LW001")
-	f.publish(1, "")
-	// A group without a primary is told apart.
+	f.publish(2, "")
 	_, err = conn.Exec(testContext(t), "/*route='order'*/ INSERT INTO stock (key, value) VALUES ('a', 1)")
-	if state := stateOf(err); state != "LW001" && state != "LW005" {
-		t.Errorf("got %v", err)
-	}
+	wantState(t, err, "LW005")
 }
 
 func TestWriteThatNoMajorityHoldsIsUnknown(t *testing.T) {
--- /dev/null
+++ b/entry/internal/relay/relay_test.go
@@ -0,0 +1,143 @@
+package relay_test
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"lentilwind.dev/entry/internal/relay"
+)
+
+func message(kind relay.Kind, body string) []byte {
+	return append(relay.AppendHeader(nil, kind, len(body)), body...)
+}
+
+func batch(messages ...[]byte) []byte {
+	var all []byte
+	for _, m := range messages {
+		all = append(all, m...)
+	}
+	return all
+}
+
+func kinds(t *testing.T, data []byte) string {
+	t.Helper()
+	var all string
+	for len(data) > 0 {
+		kind, _, rest, err := relay.Split(data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		all += string(kind)
+		data = rest
+	}
+	return all
+}
+
+func TestRewriterPreparesWhatABatchUses(t *testing.T) {
+	var w relay.Rewriter
+	var r relay.Request
+	bind, execute, sync := message(relay.KindBind, "\x00s1\x00\x00\x00\x00\x00\x00\x00"), message(relay.KindExecute, "\x00\x00\x00\x00\x00"), message(relay.KindSync, "")
+	for _, step := range []struct {
+		name  string
+		batch []byte
+		kinds string
+		needs bool
+	}{
+		{"prepare", batch(message(relay.KindParse, "s1\x00SELECT 1\x00\x00\x00"), message(relay.KindDescribe, "Ss1\x00"), sync), "PDS", true},
+		{"use later", batch(bind, execute, sync), "eBES", true},
+		{"use twice", batch(bind, execute, bind, execute, sync), "eBEBES", true},
+		{"unnamed", batch(message(relay.KindParse, "\x00SELECT 2\x00\x00\x00"), message(relay.KindBind, "\x00\x00\x00\x00\x00\x00\x00\x00"), execute, sync), "PBES", true},
+		{"unnamed later", batch(message(relay.KindBind, "\x00\x00\x00\x00\x00\x00\x00\x00"), execute, sync), "eBES", true},
+		{"close", batch(message(relay.KindClose, "Ss1\x00"), sync), "CS", false},
+	} {
+		t.Run(step.name, func(t *testing.T) {
+			if err := w.Rewrite(&r, step.batch); err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(step.kinds, kinds(t, r.Data)); diff != "" || r.NeedsDatabase != step.needs || !r.Ends {
+				t.Errorf("%s, needs %v, ends %v", diff, r.NeedsDatabase, r.Ends)
+			}
+		})
+	}
+	if err := w.Rewrite(&r, batch(bind, sync)); !errors.Is(err, relay.ErrUnknownStatement) {
+		t.Errorf("a closed statement: %v", err)
+	}
+}
+
+func TestBeginIsToldApart(t *testing.T) {
+	for text, want := range map[string]bool{
+		"BEGIN": true, "begin;": true, " /* x */ Begin Isolation Level Serializable ; ": true, "START TRANSACTION READ ONLY": true,
+		"begin; SELECT 1": false, "BEGINNING": false, "START": false, "": false, "SELECT 1": false, "-- begin\nSELECT 1": false,
+	} {
+		if got := relay.IsBegin([]byte(text)); got != want {
+			t.Errorf("%q: %v", text, got)
+		}
+	}
+	for text, want := range map[string]bool{
+		"COMMIT": true, "rollback work;": true, "END": true, "abort transaction": true, "ROLLBACK TO a": false, "COMMIT; SELECT 1": false,
+		"COMMIT PREPARED 'x'": false,
+	} {
+		if got := relay.IsEnd([]byte(text)); got != want {
+			t.Errorf("%q: %v", text, got)
+		}
+	}
+}
+
+func TestPlanNoticesCrossedAnswers(t *testing.T) {
+	var p relay.Plan
+	for _, step := range []relay.Step{relay.StepParseKnown, relay.StepBind, relay.StepExecute, relay.StepSync} {
+		p.Add(step)
+	}
+	if known := p.Known(nil); len(known) == 0 {
+		t.Error("the known ParseComplete is missing")
+	}
+	for _, step := range []struct {
+		kind relay.Kind
+		want relay.Verdict
+	}{
+		{relay.KindBindComplete, relay.Relay},
+		{relay.KindDataRow, relay.Relay},
+		{relay.KindReady, relay.Crossed},
+		{relay.KindCommandComplete, relay.Relay},
+		{relay.KindReady, relay.Relay},
+		{relay.KindDataRow, relay.Crossed},
+	} {
+		if got := p.Take(step.kind); got != step.want {
+			t.Errorf("%c: %v, want %v", step.kind, got, step.want)
+		}
+	}
+	if !p.Done() {
+		t.Error("the plan is not done")
+	}
+}
+
+func TestPlanSkipsToSyncAfterAnError(t *testing.T) {
+	var p relay.Plan
+	for _, step := range []relay.Step{relay.StepParse, relay.StepBind, relay.StepExecute, relay.StepSync} {
+		p.Add(step)
+	}
+	if p.Take(relay.KindError) != relay.Relay || p.Take(relay.KindReady) != relay.Relay || !p.Done() {
+		t.Error("an error does not end at the next Sync")
+	}
+}
+
+func FuzzRewrite(f *testing.F) {
+	f.Add(batch(message(relay.KindParse, "s1\x00SELECT 1\x00\x00\x00"), message(relay.KindBind, "\x00s1\x00\x00\x00\x00\x00\x00\x00"), message(relay.KindSync, "")))
+	f.Add(message(relay.KindQuery, "BEGIN\x00"))
+	f.Add(message(relay.KindQuery, "SELECT 'secret-key'\x00"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		w := relay.Rewriter{Key: []byte("secret-key")}
+		var r relay.Request
+		if w.Rewrite(&r, data) != nil {
+			return
+		}
+		for rest := r.Data; len(rest) > 0; {
+			var err error
+			if _, _, rest, err = relay.Split(rest); err != nil {
+				t.Fatalf("the rewritten batch is not whole: %v", err)
+			}
+		}
+	})
+}
