--- a/bench/database/record.go
+++ b/bench/database/record.go
@@ -36,9 +36,12 @@
 	return r, nil
 }
 
+// enabled tells whether observations go anywhere.
+func (r *record) enabled() bool { return r.keep || r.file != nil }
+
 // add writes one observation through to the file, so that the end of the process loses none.
 func (r *record) add(o history.Database) {
-	if !r.keep && r.file == nil {
+	if !r.enabled() {
 		return
 	}
 	r.mu.Lock()
--- a/bench/database/session.go
+++ b/bench/database/session.go
@@ -223,6 +223,9 @@
 
 // observe fills in what the connection and its scope say of an observation.
 func (s *session) observe(o history.Database) {
+	if !s.run.server.record.enabled() {
+		return
+	}
 	cfg := &s.run.server.cfg
 	o.Service, o.Server, o.Connection = cfg.Service, cfg.Server, s.id
 	o.Workspace, o.Access, o.Term = s.scope[settingWorkspace], s.scope[settingAccess], s.term()
