--- /dev/null
+++ b/entry/internal/quota/quota.go
@@ -0,0 +1,210 @@
+package quota
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"lentilwind.dev/lentilwind/inventory"
+	"lentilwind.dev/lentilwind/protocol"
+	"lentilwind.dev/lentilwind/quota"
+
+	"lentilwind.dev/entry/internal/directory"
+)
+
+// Times of drawing.
+const (
+	drawTimeout = 100 * time.Millisecond
+	// drawPeriod is the time between two looks at the demand.
+	drawPeriod = 5 * time.Millisecond
+	// retryDelay is the time after a round that no leader has answered.
+	retryDelay = 20 * time.Millisecond
+)
+
+// Leader sends a request to the control leader.
+type Leader interface {
+	Call(ctx context.Context, attempt time.Duration, kind protocol.Kind, body, reply any) error
+}
+
+// Config is what the quota needs.
+type Config struct {
+	Name      inventory.InstanceName
+	Settings  quota.Settings
+	Directory *directory.Directory
+	Leader    Leader
+}
+
+// Quota admits requests of every workspace.
+type Quota struct {
+	cfg Config
+	// accounts is replaced as a whole, so that an admission needs no lock.
+	accounts atomic.Pointer[accountTable]
+	wake     chan struct{}
+
+	mu    sync.Mutex
+	entry *quota.Entry[chan bool]
+}
+
+type (
+	account      = quota.Account[chan bool]
+	accountTable = map[inventory.WorkspaceName]*account
+)
+
+// Error is the refusal of a request; it was not run.
+type Error struct {
+	Workspace inventory.WorkspaceName
+}
+
+// Error formats the refusal.
+func (e *Error) Error() string {
+	return fmt.Sprintf("quota: workspace %s is over its rate", e.Workspace)
+}
+
+// New returns a quota that draws with Run.
+func New(cfg Config) *Quota {
+	q := &Quota{cfg: cfg, wake: make(chan struct{}, 1)}
+	q.entry = quota.NewEntry[chan bool](cfg.Settings, cfg.Name, time.Now())
+	q.accounts.Store(&accountTable{})
+	return q
+}
+
+// Take admits one request, if need be after asking the leader, and reports whether it may run.
+func (q *Quota) Take(ctx context.Context, workspace inventory.WorkspaceName) bool {
+	return q.Acquire(ctx, workspace) == nil
+}
+
+// Acquire admits one request, if need be after asking the leader; an error is an *Error.
+func (q *Quota) Acquire(ctx context.Context, workspace inventory.WorkspaceName) error {
+	now := time.Now()
+	a := (*q.accounts.Load())[workspace]
+	if a != nil && a.Admit(now) {
+		return nil
+	}
+	if a == nil {
+		if a = q.open(workspace, now); a == nil {
+			return &Error{Workspace: workspace}
+		}
+		a.Admit(now)
+	}
+	return q.wait(ctx, a, workspace, now)
+}
+
+// open adds a workspace's account; nil means that the workspace does not exist.
+func (q *Quota) open(workspace inventory.WorkspaceName, now time.Time) *account {
+	w := q.cfg.Directory.Snapshot().Workspace(workspace)
+	if w == nil {
+		return nil
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	a := q.entry.Account(workspace, quota.Limits{Rate: w.Rate, Burst: w.Burst}, now)
+	table := maps.Clone(*q.accounts.Load())
+	table[workspace] = a
+	q.accounts.Store(&table)
+	return a
+}
+
+// wait asks the leader and waits for its answer.
+func (q *Quota) wait(ctx context.Context, a *account, workspace inventory.WorkspaceName, now time.Time) error {
+	result := make(chan bool, 1)
+	q.mu.Lock()
+	decision, ticket := q.entry.Wait(a, result, now)
+	q.mu.Unlock()
+	switch decision {
+	case quota.Admitted:
+		return nil
+	case quota.Refused:
+		return &Error{Workspace: workspace}
+	}
+	select {
+	case q.wake <- struct{}{}:
+	default:
+	}
+	select {
+	case admitted := <-result:
+		if admitted {
+			return nil
+		}
+	case <-ctx.Done():
+		q.mu.Lock()
+		q.entry.Cancel(a, ticket)
+		q.mu.Unlock()
+	}
+	return &Error{Workspace: workspace}
+}
+
+// Run draws from the leader until the context ends.
+func (q *Quota) Run(ctx context.Context) error {
+	subscription := q.cfg.Directory.Subscribe()
+	defer subscription.Close()
+	ticker := time.NewTicker(drawPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-subscription.Changed:
+			q.follow(time.Now())
+		case <-q.wake:
+		case <-ticker.C:
+		}
+		if !q.round(ctx) {
+			pause(ctx, retryDelay/2+rand.N(retryDelay))
+		}
+	}
+}
+
+func pause(ctx context.Context, delay time.Duration) {
+	clock := time.NewTimer(delay)
+	defer clock.Stop()
+	select {
+	case <-ctx.Done():
+	case <-clock.C:
+	}
+}
+
+// follow takes in the limits of a new inventory and drops workspaces that are gone.
+func (q *Quota) follow(now time.Time) {
+	snapshot := q.cfg.Directory.Snapshot()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	table := make(accountTable)
+	for name := range *q.accounts.Load() {
+		if w := snapshot.Workspace(name); w != nil {
+			table[name] = q.entry.Account(name, quota.Limits{Rate: w.Rate, Burst: w.Burst}, now)
+		}
+	}
+	q.accounts.Store(&table)
+}
+
+// round asks the leader for what is needed now, if anything is, and reports whether it got no failure.
+func (q *Quota) round(ctx context.Context) bool {
+	q.mu.Lock()
+	now := time.Now()
+	q.settle(q.entry.Expire(now))
+	round := q.entry.Draw(now)
+	q.mu.Unlock()
+	if round == nil {
+		return true
+	}
+	var reply protocol.DrawReply
+	ctx, cancel := context.WithTimeout(ctx, drawTimeout)
+	defer cancel()
+	if q.cfg.Leader.Call(ctx, drawTimeout, protocol.KindDraw, &round.Request, &reply) != nil {
+		return false
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.settle(q.entry.Reply(round, &reply, time.Now()))
+	return true
+}
+
+func (q *Quota) settle(settled []quota.Settled[chan bool]) {
+	for _, s := range settled {
+		s.Value <- s.Admitted
+	}
+}
--- /dev/null
+++ b/entry/internal/quota/quota_test.go
@@ -0,0 +1,120 @@
+package quota_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"lentilwind.dev/lentilwind/inventory"
+	"lentilwind.dev/lentilwind/protocol"
+	decisions "lentilwind.dev/lentilwind/quota"
+
+	"lentilwind.dev/entry/internal/directory"
+	"lentilwind.dev/entry/internal/quota"
+)
+
+// localLeader answers draws in the same process.
+type localLeader struct {
+	mu     sync.Mutex
+	leader *decisions.Leader
+	silent atomic.Bool
+	calls  atomic.Int64
+}
+
+var errSilent = errors.New("no answer")
+
+func (l *localLeader) Call(_ context.Context, _ time.Duration, _ protocol.Kind, body, reply any) error {
+	l.calls.Add(1)
+	if l.silent.Load() {
+		return errSilent
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	*reply.(*protocol.DrawReply) = l.leader.Draw(body.(*protocol.DrawRequest), time.Now())
+	return nil
+}
+
+var workspaces = []inventory.Workspace{{Name: "w", Rate: 1000, Burst: 1000}}
+
+func newQuota(t testing.TB, term uint64) (*quota.Quota, *localLeader) {
+	t.Helper()
+	// The leader's bucket has had time to fill.
+	began := time.Now().Add(-time.Minute)
+	l := &localLeader{leader: decisions.NewLeader(decisions.DefaultSettings(), term, began)}
+	l.leader.Configure(workspaces, []inventory.InstanceName{"entry-1"}, began)
+	d := directory.New()
+	d.Apply(&inventory.Delta{To: 1, Workspaces: inventory.Change[inventory.WorkspaceName, inventory.Workspace]{Set: workspaces}}, nil)
+	q := quota.New(quota.Config{Name: "entry-1", Settings: decisions.DefaultSettings(), Directory: d, Leader: l})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- q.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return q, l
+}
+
+func TestConcurrentRequestsGetTheBurstAndNoMore(t *testing.T) {
+	q, _ := newQuota(t, 1)
+	begun := time.Now()
+	var admitted atomic.Int64
+	var callers sync.WaitGroup
+	for range 16 {
+		callers.Go(func() {
+			for range 100 {
+				if q.Acquire(context.Background(), "w") == nil {
+					admitted.Add(1)
+				}
+			}
+		})
+	}
+	callers.Wait()
+	most := 1000 + 1000*time.Since(begun).Seconds()
+	// While nothing is proven, half of the burst is set aside for entries that may be cut off.
+	if got := float64(admitted.Load()); got > most || got < 400 {
+		t.Errorf("admitted %.0f, want 400 to %.0f", got, most)
+	}
+}
+
+func TestUnknownWorkspaceIsRefused(t *testing.T) {
+	q, _ := newQuota(t, 1)
+	var refused *quota.Error
+	if err := q.Acquire(context.Background(), "nobody"); !errors.As(err, &refused) {
+		t.Errorf("got %v", err)
+	}
+}
+
+func TestSilentLeaderDelaysARequestNoLongerThanItsContext(t *testing.T) {
+	q, l := newQuota(t, 1)
+	l.silent.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
+	defer cancel()
+	if q.Take(ctx, "w") {
+		t.Error("admitted without a leader")
+	}
+	l.silent.Store(false)
+	if !q.Take(context.Background(), "w") {
+		t.Error("refused although the leader answers again")
+	}
+}
+
+func BenchmarkAcquire(b *testing.B) {
+	workspaces = []inventory.Workspace{{Name: "w", Rate: 1e9, Burst: 1e9}}
+	q, l := newQuota(b, 1)
+	ctx := context.Background()
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if !q.Take(ctx, "w") {
+				b.Error("refused")
+			}
+		}
+	})
+	b.ReportMetric(float64(l.calls.Load())/b.Elapsed().Seconds(), "draws/s")
+}
--- /dev/null
+++ b/instance/link/linktest/doc.go
@@ -0,0 +1,2 @@
+// Package linktest gives tests endpoints of one throwaway fleet on loopback.
+package linktest
--- a/lentilwind/quota/entry.go
+++ b/lentilwind/quota/entry.go
@@ -80,6 +80,7 @@
 
 // Wait decides on a request for which Admit has found no token; the ticket of a waiting one is settled by Reply or Expire.
 func (e *Entry[V]) Wait(a *Account[V], value V, now time.Time) (Decision, *Ticket[V]) {
+	a = e.kept(a)
 	if e.CutOff(now) {
 		if e.takeFloor(a, now) {
 			return Admitted, nil
@@ -89,16 +90,23 @@
 	if len(a.waiting) >= maxWaiting {
 		return Refused, nil
 	}
-	if e.accounts[a.workspace] == nil {
-		e.accounts[a.workspace] = a
-	}
 	ticket := &Ticket[V]{Value: value, since: now}
 	a.waiting = append(a.waiting, ticket)
 	return Waiting, ticket
 }
 
+// kept returns the account that draws for a's workspace; a itself is kept again if it has been forgotten meanwhile.
+func (e *Entry[V]) kept(a *Account[V]) *Account[V] {
+	if known := e.accounts[a.workspace]; known != nil {
+		return known
+	}
+	e.accounts[a.workspace] = a
+	return a
+}
+
 // Cancel takes back a ticket that is not settled yet.
 func (e *Entry[V]) Cancel(a *Account[V], ticket *Ticket[V]) {
+	a = e.kept(a)
 	for i, other := range a.waiting {
 		if other == ticket {
 			a.waiting = append(a.waiting[:i], a.waiting[i+1:]...)
