--- /dev/null
+++ b/entry/internal/command/doc.go
@@ -0,0 +1,2 @@
+// Package command is the command line of lentil-entry.
+package command
--- /dev/null
+++ b/entry/internal/command/entry.go
@@ -0,0 +1,215 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"lentilwind.dev/entry/internal/caller"
+	"lentilwind.dev/entry/internal/directory"
+	"lentilwind.dev/entry/internal/executor"
+	"lentilwind.dev/entry/internal/membership"
+	"lentilwind.dev/entry/internal/pool"
+	"lentilwind.dev/entry/internal/positions"
+	"lentilwind.dev/entry/internal/quota"
+	"lentilwind.dev/entry/internal/settings"
+	"lentilwind.dev/instance/events"
+	"lentilwind.dev/instance/identity"
+	"lentilwind.dev/instance/link"
+	"lentilwind.dev/instance/logs"
+	"lentilwind.dev/instance/metrics"
+	"lentilwind.dev/instance/timer"
+	"lentilwind.dev/lentilwind/group"
+	"lentilwind.dev/lentilwind/hlc"
+	"lentilwind.dev/lentilwind/protocol"
+	quotas "lentilwind.dev/lentilwind/quota"
+	"lentilwind.dev/lentilwind/session"
+)
+
+// entry is the parts of a running entry.
+type entry struct {
+	settings    *settings.Settings
+	incarnation protocol.Incarnation
+	clock       *hlc.Clock
+	log         *log.Logger
+	events      *events.Recorder
+	metrics     *metrics.Set
+	timers      *timer.Service
+	identity    *identity.Source
+	http        net.Listener
+
+	endpoint   *link.Endpoint
+	directory  *directory.Directory
+	membership *membership.Membership
+	keeper     *positions.Keeper
+	quota      *quota.Quota
+	pools      *pool.Set
+	home       *executor.Home
+	server     *caller.Server
+
+	stopping atomic.Bool
+}
+
+// newEntry opens the listeners and puts the parts together.
+func newEntry(s *settings.Settings, w io.Writer) (*entry, error) {
+	e := &entry{
+		settings: s, incarnation: protocol.Incarnation(time.Now().UnixMilli()), clock: &hlc.Clock{},
+		timers: timer.NewService(), directory: directory.New(), pools: pool.NewSet(),
+	}
+	var err error
+	if e.log, err = logs.New(w, s.LogLevel, string(s.Name)); err != nil {
+		return nil, err
+	}
+	if e.events, err = events.Open(s.EventsFile, string(s.Name), e.clock); err != nil {
+		return nil, err
+	}
+	if e.metrics, err = metrics.New("lentil-entry"); err != nil {
+		return nil, err
+	}
+	if e.identity, err = identity.Load(s.Identity); err != nil {
+		return nil, err
+	}
+	if err := e.connectPeers(); err != nil {
+		return nil, err
+	}
+	return e, e.listenToCallers()
+}
+
+// connectPeers puts together what talks to the other processes.
+func (e *entry) connectPeers() error {
+	s := e.settings
+	endpoint, err := link.Listen(link.Config{
+		Listen: netip.MustParseAddrPort(s.Listen.Peers), Name: s.Name, Incarnation: e.incarnation,
+		Identity: e.identity, Clock: e.clock, Log: e.log,
+	})
+	if err != nil {
+		return err
+	}
+	e.endpoint = endpoint
+	control := make([]netip.AddrPort, 0, len(s.Control))
+	for _, address := range s.Control {
+		control = append(control, netip.MustParseAddrPort(address))
+	}
+	leader := membership.NewLeader(endpoint, control)
+	e.keeper = positions.New(positions.Config{Directory: e.directory, DataCentre: s.DataCentre, Log: e.log})
+	e.membership = membership.New(membership.Config{
+		Name: s.Name, Incarnation: e.incarnation, DataCentre: s.DataCentre, Address: e.advertised(), Endpoint: endpoint,
+		Leader: leader, Directory: e.directory, Log: e.log, Events: e.events, Suspects: e.keeper.Suspects, Running: e.running,
+	})
+	e.quota = quota.New(quota.Config{Name: s.Name, Settings: quotas.DefaultSettings(), Directory: e.directory, Leader: leader})
+	return nil
+}
+
+func (e *entry) advertised() netip.AddrPort {
+	if e.settings.Advertise != "" {
+		return netip.MustParseAddrPort(e.settings.Advertise)
+	}
+	return e.endpoint.Address()
+}
+
+// listenToCallers puts together what serves callers.
+func (e *entry) listenToCallers() error {
+	s := e.settings
+	signer, err := newSigner(s.SessionSecretFile)
+	if err != nil {
+		return err
+	}
+	if e.http, err = listen(s.Listen.HTTP); err != nil {
+		return err
+	}
+	listener, err := listen(s.Listen.Callers)
+	if err != nil {
+		return err
+	}
+	local := executor.NewLocal(e.pools)
+	e.home = executor.NewHome(local)
+	e.endpoint.HandleStream(protocol.KindTransaction, e.home.ServeStream)
+	e.server = caller.NewServer(caller.Config{
+		Directory: e.directory, Positions: e.keeper, Executor: local, Quota: e.quota, Signer: signer,
+		TLS: e.identity.ServerOnly(), PlainText: s.Prefixes(), Limits: callerLimits(&s.Limits), Events: e.events, Log: e.log,
+	}, listener)
+	e.timers.Every(trimPeriod, e.pools.Trim)
+	return errors.Join(e.server.Register(e.metrics.Meter), e.registerPools())
+}
+
+const trimPeriod = 10 * time.Second
+
+func callerLimits(l *settings.Limits) caller.Limits {
+	return caller.Limits{
+		Callers: l.Callers, RequestBytes: l.RequestBytes, AnswerBytes: l.AnswerBytes, RequestTimeout: l.RequestTimeout.Std(),
+		AnswerTimeout: l.AnswerTimeout.Std(), ConfirmTimeout: l.ConfirmTimeout.Std(), IdleInTransaction: l.IdleInTransaction.Std(),
+		SlowCaller: l.SlowCaller.Std(), StartupTimeout: l.StartupTimeout.Std(),
+	}
+}
+
+// newSigner reads the secrets of session tokens, one on a line.
+func newSigner(path string) (*session.Signer, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("command: session secret: %w", err)
+	}
+	var secrets [][]byte
+	for line := range bytes.Lines(data) {
+		if line = bytes.TrimSpace(line); len(line) > 0 {
+			secrets = append(secrets, line)
+		}
+	}
+	return session.NewSigner(secrets...)
+}
+
+// running returns the groups with write transactions of an older term than the directory names.
+func (e *entry) running() []group.ID {
+	var running []group.ID
+	snapshot := e.directory.Snapshot()
+	e.pools.Each(func(_ group.Server, p *pool.Pool) {
+		p.Writing(func(id group.ID, term group.Term) {
+			if configuration, found := snapshot.Group(id); found && term < configuration.Term {
+				running = append(running, id)
+			}
+		})
+	})
+	slices.SortFunc(running, group.ID.Compare)
+	return slices.Compact(running)
+}
+
+// followDirectory keeps the pools at the servers and limits of the newest snapshot.
+func (e *entry) followDirectory(ctx context.Context) error {
+	subscription := e.directory.Subscribe()
+	defer subscription.Close()
+	for {
+		e.pools.Configure(targets(e.directory.Snapshot()))
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-subscription.Changed:
+		}
+	}
+}
+
+// targets splits each server's connections over the entry instances of the inventory.
+func targets(snapshot *directory.Snapshot) []pool.Target {
+	if snapshot.Inventory == nil {
+		return nil
+	}
+	entries := max(1, len(snapshot.Inventory.Instances))
+	var all []pool.Target
+	for server := range snapshot.Servers {
+		if !server.Address.IsValid() {
+			continue
+		}
+		all = append(all, pool.Target{
+			Service: server.Service, Server: server.Name, Address: server.Address, Limit: server.Connections / entries,
+		})
+	}
+	return all
+}
--- a/entry/internal/pool/conn.go
+++ b/entry/internal/pool/conn.go
@@ -55,6 +55,9 @@
 	// Proven is when the connection last gave an answer.
 	Proven time.Time
 
+	// writing is what the pool counts the connection's transaction as; zero for reads.
+	writing writeKey
+
 	processID uint32
 	secretKey []byte
 
--- a/entry/internal/pool/pool.go
+++ b/entry/internal/pool/pool.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"lentilwind.dev/lentilwind/group"
+	"lentilwind.dev/lentilwind/inventory"
 )
 
 // ErrClosed is returned once a pool gives out no more connections.
@@ -39,6 +40,8 @@
 	open    int
 	closed  bool
 	idle    []*Conn
+	// writes counts the running write transactions.
+	writes  map[writeKey]int
 	waiting waiters
 	// answered is when the server last answered anything.
 	answered time.Time
@@ -48,20 +51,65 @@
 
 // NewPool returns an empty pool of at most limit connections.
 func NewPool(service group.Service, server group.Server, address netip.AddrPort, limit int) *Pool {
-	return &Pool{service: service, server: server, address: address, limit: limit, answered: time.Now(), waiting: newWaiters()}
+	return &Pool{service: service, server: server, address: address, limit: limit, answered: time.Now(), waiting: newWaiters(), writes: make(map[writeKey]int)}
 }
 
 // Acquire returns a connection that nobody else uses, opened if need be.
 func (p *Pool) Acquire(ctx context.Context, want *Want) (*Conn, error) {
 	conn, err := p.reserve(ctx, want)
-	if err != nil || conn != nil {
-		return conn, err
+	if err == nil && conn == nil {
+		conn, err = p.dialUntil(ctx, want.Deadline)
 	}
-	ctx, cancel := context.WithDeadline(ctx, want.Deadline)
+	if err != nil {
+		return nil, err
+	}
+	p.begin(conn, want.Scope)
+	return conn, nil
+}
+
+func (p *Pool) dialUntil(ctx context.Context, deadline time.Time) (*Conn, error) {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	return p.dial(ctx)
 }
 
+// writeKey is a slot with the term under which it is written to.
+type writeKey struct {
+	slot group.Slot
+	term group.Term
+}
+
+// begin counts a write transaction until its connection is released.
+func (p *Pool) begin(conn *Conn, scope Scope) {
+	if scope.Access != inventory.AccessWrite {
+		return
+	}
+	conn.writing = writeKey{slot: scope.Slot, term: scope.Term}
+	p.mu.Lock()
+	p.writes[conn.writing]++
+	p.mu.Unlock()
+}
+
+// end takes a write transaction out of the count; p.mu is held.
+func (p *Pool) end(conn *Conn) {
+	if conn == nil || conn.writing == (writeKey{}) {
+		return
+	}
+	if p.writes[conn.writing]--; p.writes[conn.writing] <= 0 {
+		delete(p.writes, conn.writing)
+	}
+	conn.writing = writeKey{}
+}
+
+// Writing calls a function for each slot and term with running write transactions.
+func (p *Pool) Writing(yield func(id group.ID, term group.Term)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for key := range p.writes {
+		yield(group.ID{Service: p.service, Slot: key.slot}, key.term)
+	}
+}
+
 // reserve takes an idle connection, or the right to open one when it returns neither a connection nor an error.
 func (p *Pool) reserve(ctx context.Context, want *Want) (*Conn, error) {
 	p.mu.Lock()
@@ -197,11 +245,15 @@
 
 // Release gives a connection back; one that is not reusable is closed. A nil one gives back the right to open one.
 func (p *Pool) Release(conn *Conn, reusable bool) {
-	if conn != nil && (!reusable || conn.Cancelled()) {
+	unusable := conn != nil && (!reusable || conn.Cancelled())
+	if unusable {
 		_ = conn.Close()
-		conn = nil
 	}
 	p.mu.Lock()
+	p.end(conn)
+	if unusable {
+		conn = nil
+	}
 	if p.closed && conn != nil {
 		_ = conn.Close()
 		conn = nil
--- a/entry/internal/settings/settings.go
+++ b/entry/internal/settings/settings.go
@@ -17,6 +17,8 @@
 	Name       inventory.InstanceName `json:"name"`
 	DataCentre inventory.DataCentre   `json:"dataCentre"`
 	Listen     Listen                 `json:"listen"`
+	// Advertise is the address at which other processes reach listen.peers, where it differs.
+	Advertise string `json:"advertise"`
 	// Control lists the addresses of the control processes.
 	Control  []string       `json:"control"`
 	Identity identity.Files `json:"identity"`
@@ -126,6 +128,9 @@
 		settings.CheckPresent("/identity/key", s.Identity.Key, "name the instance's private key"),
 		settings.CheckPresent("/sessionSecretFile", s.SessionSecretFile, "name the file with the fleet's session secret"),
 	)
+	if s.Advertise != "" {
+		problems = append(problems, settings.CheckAddress("/advertise", s.Advertise)...)
+	}
 	if len(s.Control) == 0 {
 		problems = append(problems, jsonc.Problem{
 			Pointer: "/control", Message: "no control process is listed", Remedy: "list the address of each one",
