--- /dev/null
+++ b/control/internal/replica/effects.go
@@ -0,0 +1,158 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"lentilwind.dev/instance/events"
+	"lentilwind.dev/lentilwind/catalog"
+	"lentilwind.dev/lentilwind/journal"
+	"lentilwind.dev/lentilwind/protocol"
+)
+
+// carryOut makes promises durable first and then does the other effects in their order.
+func (r *Replica) carryOut(ctx context.Context, effects []journal.Effect) error {
+	for len(effects) > 0 {
+		if err := r.persist(effects); err != nil {
+			return err
+		}
+		r.publish()
+		var more []journal.Effect
+		for _, effect := range effects {
+			next, err := r.act(ctx, effect)
+			if err != nil {
+				return err
+			}
+			more = append(more, next...)
+		}
+		effects = more
+	}
+	r.publish()
+	return nil
+}
+
+func (r *Replica) persist(effects []journal.Effect) error {
+	for _, effect := range effects {
+		switch effect := effect.(type) {
+		case journal.Save:
+			r.store.Save(effect)
+		case journal.SaveSnapshot:
+			if err := r.store.SaveSnapshot(effect); err != nil {
+				return err
+			}
+		}
+	}
+	return r.store.Sync()
+}
+
+func (r *Replica) act(ctx context.Context, effect journal.Effect) ([]journal.Effect, error) {
+	switch effect := effect.(type) {
+	case journal.Send:
+		r.post(ctx, effect.Message)
+	case journal.Commit:
+		return nil, r.apply(effect.Entries)
+	case journal.Restore:
+		return nil, r.install(effect.Snapshot)
+	case journal.TakeSnapshot:
+		return r.takeSnapshot()
+	case journal.Lead:
+		r.onLead(effect)
+	}
+	return nil, nil
+}
+
+func (r *Replica) apply(entries []journal.Entry) error {
+	for _, entry := range entries {
+		switch entry.Kind {
+		case journal.EntryCommand:
+			if err := r.applyCommand(entry); err != nil {
+				return err
+			}
+		case journal.EntryMembership:
+			r.cfg.Events.Record(events.Event{Kind: events.KindMembersChanged, Term: uint64(entry.Term)})
+			r.resolve(entry, catalog.Result{Outcome: catalog.OutcomeAccepted})
+		case journal.EntryBegin:
+			r.resolve(entry, catalog.Result{})
+		}
+		r.applied = entry.Index
+	}
+	return nil
+}
+
+func (r *Replica) applyCommand(entry journal.Entry) error {
+	var command catalog.Command
+	if err := protocol.Decode(entry.Data, &command); err != nil {
+		return fmt.Errorf("replica: entry %d: %w", entry.Index, err)
+	}
+	before := r.state.Load()
+	after, result := before.Apply(entry.Index, command)
+	r.state.Store(after)
+	if after.Revision() != before.Revision() {
+		r.cfg.Events.Record(events.Event{
+			Kind: events.KindInventoryChanged, Revision: uint64(after.Revision()), Term: uint64(entry.Term),
+		})
+	}
+	r.resolve(entry, result)
+	r.changed.notify()
+	return nil
+}
+
+func (r *Replica) install(snapshot journal.Snapshot) error {
+	if err := r.restore(snapshot); err != nil {
+		return err
+	}
+	r.cfg.Log.Info().Uint64("index", uint64(snapshot.Index)).Msg("took the state over from a snapshot")
+	r.changed.notify()
+	return nil
+}
+
+func (r *Replica) takeSnapshot() ([]journal.Effect, error) {
+	data, err := r.state.Load().Snapshot()
+	if err != nil {
+		return nil, fmt.Errorf("replica: %w", err)
+	}
+	effects := r.machine.Compact(r.applied, data)
+	if len(effects) > 0 {
+		detail := fmt.Sprintf("index %d, %d bytes", r.applied, len(data))
+		r.cfg.Events.Record(events.Event{Kind: events.KindSnapshotTaken, Detail: detail})
+	}
+	return effects, nil
+}
+
+func (r *Replica) onLead(lead journal.Lead) {
+	self := r.store.Identity().Member
+	was := r.view.Load().leader
+	name := ""
+	if member, found := r.machine.Membership().Find(lead.Leader); found {
+		name = string(member.Name)
+	}
+	switch {
+	case lead.Leader == self:
+		r.cfg.Events.Record(events.Event{Kind: events.KindLeaderElected, Term: uint64(lead.Term), Detail: name})
+	case was == self:
+		r.cfg.Events.Record(events.Event{Kind: events.KindLeaderLost, Term: uint64(lead.Term)})
+	}
+	if lead.Leader != self {
+		r.failWaiters()
+	}
+	r.cfg.Log.Info().Uint64("term", uint64(lead.Term)).Str("leader", name).Msg("the leader changed")
+}
+
+// publish makes what others may read current; a lease that has ended is withdrawn before anything else is sent.
+func (r *Replica) publish() {
+	now := time.Now()
+	until, _ := r.machine.Lease(now)
+	next := &view{
+		term:       r.machine.Term(),
+		leader:     r.machine.Leader(),
+		membership: r.machine.Membership(),
+	}
+	if r.applied >= r.machine.Begin() {
+		next.until = until
+	}
+	previous := r.view.Swap(next)
+	if previous.leader != next.leader || previous.until.IsZero() != next.until.IsZero() || previous.term != next.term {
+		r.changed.notify()
+	}
+}
--- /dev/null
+++ b/control/internal/replica/members.go
@@ -0,0 +1,63 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"lentilwind.dev/control/internal/settings"
+	"lentilwind.dev/lentilwind/inventory"
+	"lentilwind.dev/lentilwind/journal"
+)
+
+// AddMember brings in a running process as a learner; it counts once it has caught up.
+//
+// A name that is a member already stands for a process whose data folder was lost: the new one replaces it. Otherwise
+// replaces names the member to remove afterwards, or is empty.
+func (r *Replica) AddMember(ctx context.Context, name inventory.InstanceName, address string, replaces inventory.InstanceName) error {
+	reply, err := r.greet(ctx, settings.Member{Name: name, Address: address})
+	if err != nil {
+		return err
+	}
+	member := journal.Member{ID: reply.Member, Name: name, Address: address, Operators: reply.Operators}
+	if replaces == "" {
+		replaces = name
+	}
+	old, found := findName(r.view.Load().membership, replaces)
+	switch {
+	case found:
+		member.Replaces = old.ID
+	case replaces != name:
+		return &journal.ChangeError{Message: fmt.Sprintf("there is no member %q to replace", replaces)}
+	case len(r.view.Load().membership.Members) >= settings.MaxMembers:
+		return &journal.ChangeError{Message: fmt.Sprintf("there are %d members already", settings.MaxMembers)}
+	}
+	return r.change(ctx, journal.Change{Add: &member})
+}
+
+// RemoveMember takes a member out.
+func (r *Replica) RemoveMember(ctx context.Context, name inventory.InstanceName) error {
+	member, found := findName(r.view.Load().membership, name)
+	if !found {
+		return &journal.ChangeError{Message: fmt.Sprintf("there is no member %q", name)}
+	}
+	return r.change(ctx, journal.Change{Remove: member.ID})
+}
+
+func (r *Replica) change(ctx context.Context, change journal.Change) error {
+	_, err := r.submit(ctx, func(now time.Time) (journal.Position, []journal.Effect, error) {
+		return r.machine.Change(now, change)
+	})
+	return err
+}
+
+// findName returns the member with a name; a learner comes first, because it is the one that was added last.
+func findName(membership journal.Membership, name inventory.InstanceName) (journal.Member, bool) {
+	var found journal.Member
+	for _, member := range membership.Members {
+		if member.Name == name && (found.ID == 0 || member.Learner) {
+			found = member
+		}
+	}
+	return found, found.ID != 0
+}
--- /dev/null
+++ b/control/internal/settings/doc.go
@@ -0,0 +1,2 @@
+// Package settings has the settings of a control process.
+package settings
--- /dev/null
+++ b/control/internal/storage/doc.go
@@ -0,0 +1,2 @@
+// Package storage keeps one control process's journal, snapshots and identity in its data folder.
+package storage
--- a/lentilwind/protocol/frame.go
+++ b/lentilwind/protocol/frame.go
@@ -27,6 +27,8 @@
 const (
 	// KindJournal carries one journal message between control processes; it has no reply.
 	KindJournal Kind = "journal"
+	// KindMember asks a control process which member of the journal it is.
+	KindMember Kind = "member"
 	// KindRenew asks the control leader for configuration leases and for what has changed.
 	KindRenew Kind = "renew"
 	// KindDraw asks the control leader for requests out of workspaces' quotas.
