--- a/bench/history/request.go
+++ b/bench/history/request.go
@@ -23,6 +23,8 @@
 	OutcomeNoPrimary Outcome = "noPrimary"
 	// OutcomeUnknown was sent, but no valid answer came.
 	OutcomeUnknown Outcome = "unknown"
+	// OutcomeStopped met an entry that was stopping.
+	OutcomeStopped Outcome = "stopped"
 	// OutcomeUnreached never got a connection.
 	OutcomeUnreached Outcome = "unreached"
 )
@@ -66,6 +68,8 @@
 	Session   string                  `json:"session"`
 	Entry     string                  `json:"entry,omitempty"`
 	Path      Path                    `json:"path"`
+	// Credential names the key of requests that are sent with one that is being withdrawn.
+	Credential inventory.KeyID `json:"credential,omitempty"`
 	// Probe marks requests that are sent both ways to compare their latency.
 	Probe        bool                `json:"probe,omitempty"`
 	Route        inventory.RouteName `json:"route"`
@@ -104,6 +108,8 @@
 	Time   time.Time `json:"time"`
 	Kind   FaultKind `json:"kind"`
 	Target string    `json:"target"`
+	// Done is when it had been brought about, for example when a change was in force.
+	Done time.Time `json:"done"`
 	// Error tells why it could not be brought about.
 	Error string `json:"error,omitempty"`
 }
