--- a/entry/internal/caller/answer.go
+++ b/entry/internal/caller/answer.go
@@ -29,6 +29,8 @@
 		return c.answerFailed()
 	case !b.request.NeedsDatabase:
 		return c.answerAlone()
+	case b.request.Simple && c.reset():
+		return c.write(b.answer)
 	case c.tx != nil:
 		return c.continueBlock()
 	case b.request.OnlyBegin && c.begin == "" && !relay.HasComment(b.request.First) && b.request.Ends:
@@ -37,6 +39,17 @@
 	return c.place()
 }
 
+// reset answers a query that only makes the caller's connection like a new one; false for every other query.
+func (c *caller) reset() bool {
+	tag, found := relay.IsReset(c.buffers.request.First)
+	if !found || c.tx != nil || c.begin != "" {
+		return false
+	}
+	c.rewriter.Statements.Clear()
+	c.buffers.answer = appendReady(appendComplete(c.buffers.answer[:0], tag), c.blockState())
+	return true
+}
+
 // asksForReady tells whether a batch ends with a message that ReadyForQuery answers.
 func asksForReady(batch []byte) bool {
 	last := relay.KindFlush
--- a/entry/internal/relay/keyword.go
+++ b/entry/internal/relay/keyword.go
@@ -78,6 +78,22 @@
 	return len(rest) == 0 || (rest[0] == ';' && len(skipSpace(rest[1:])) == 0)
 }
 
+// IsReset tells whether a text is one DISCARD ALL or DEALLOCATE ALL, which a caller needs no database for; tag is its answer.
+func IsReset(text []byte) (tag string, found bool) {
+	word, rest := Keyword(text)
+	object, rest := Keyword(rest)
+	if !is(object, "all") || len(bytes.Trim(rest, " \t\r\n;")) > 0 {
+		return "", false
+	}
+	switch {
+	case is(word, "discard"):
+		return "DISCARD ALL", true
+	case is(word, "deallocate"):
+		return "DEALLOCATE ALL", true
+	}
+	return "", false
+}
+
 // alone tells that no second statement follows.
 func alone(rest []byte) bool {
 	end := bytes.IndexByte(rest, ';')
--- a/entry/internal/relay/statements.go
+++ b/entry/internal/relay/statements.go
@@ -56,6 +56,9 @@
 	bytes  int
 }
 
+// Clear forgets every statement.
+func (s *Statements) Clear() { s.byName, s.bytes = nil, 0 }
+
 func (s *Statements) find(name []byte) *Statement { return s.byName[string(name)] }
 
 func (s *Statements) set(name []byte, statement *Statement) error {
--- a/entry/main.go
+++ b/entry/main.go
@@ -12,10 +12,15 @@
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	if err := command.New().ExecuteContext(ctx); err != nil {
+	if err := run(); err != nil {
 		fmt.Fprintln(os.Stderr, "lentil-entry:", err)
 		os.Exit(1)
 	}
 }
+
+// run ends when the process is told to stop.
+func run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	return command.New().ExecuteContext(ctx)
+}
