Silent reads end sooner, back-off between connection attempts, leaving servers lose their idle connections

Cause: a read over a silent connection waited for the whole answer time, though its preamble needs no work of the database.

--- a/entry/internal/caller/bench_test.go
+++ b/entry/internal/caller/bench_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"runtime"
 	"testing"
 	"time"
 
@@ -217,8 +218,9 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	b.Cleanup(func() { _ = hijacked.Conn.Close() })
-	c := &rawCaller{conn: hijacked.Conn, r: bufio.NewReaderSize(hijacked.Conn, 16<<10)}
+	raw := hijacked.Conn
+	b.Cleanup(func() { _ = raw.Close() })
+	c := &rawCaller{conn: raw, r: bufio.NewReaderSize(hijacked.Conn, 16<<10)}
 	if !extended {
 		c.batch = message('Q', sql+"\x00")
 		return c
@@ -289,3 +291,30 @@
 		})
 	}
 }
+
+// BenchmarkIdleCallers reports what a caller takes that has run a statement and waits; the driver's side is a bare socket.
+func BenchmarkIdleCallers(b *testing.B) {
+	address, _ := newEchoEntry(b, 4)
+	const callers = 900
+	for range b.N {
+		before := memory()
+		conns := make([]net.Conn, 0, callers)
+		for range callers {
+			c := newRawCaller(b, address, "/*route='lookup'*/ SELECT value FROM stock", true)
+			c.exchange(b)
+			conns = append(conns, c.conn)
+		}
+		b.ReportMetric(float64(memory()-before)/callers, "B/caller")
+		for _, conn := range conns {
+			_ = conn.Close()
+		}
+	}
+}
+
+func memory() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc + m.StackInuse
+}
--- a/entry/internal/caller/caller.go
+++ b/entry/internal/caller/caller.go
@@ -174,7 +174,7 @@
 		c.fatal(outcome.At(outcome.ReasonStopping, nil))
 		return
 	}
-	c.server.Counters.failed(outcome.ReasonKeyWithdrawn)
+	c.note(outcome.At(outcome.ReasonKeyWithdrawn, nil))
 	c.fatal(outcome.At(outcome.ReasonKeyWithdrawn, nil))
 }
 
--- a/entry/internal/caller/refuse.go
+++ b/entry/internal/caller/refuse.go
@@ -70,7 +70,11 @@
 	}
 	c.server.Counters.failed(f.Reason)
 	switch f.Reason {
-	case outcome.ReasonKeyWithdrawn, outcome.ReasonKeyInStatement, outcome.ReasonReservedName, outcome.ReasonNoLease:
+	case outcome.ReasonKeyWithdrawn:
+		c.server.cfg.Events.Record(events.Event{
+			Kind: events.KindKeyWithdrawn, Workspace: string(c.workspace), Service: string(c.service),
+		})
+	case outcome.ReasonKeyInStatement, outcome.ReasonReservedName, outcome.ReasonNoLease:
 		c.server.cfg.Events.Record(events.Event{
 			Kind: events.KindRequestRefused, Workspace: string(c.workspace), Service: string(c.service), Detail: string(f.Reason),
 		})
--- a/entry/internal/caller/run.go
+++ b/entry/internal/caller/run.go
@@ -42,7 +42,7 @@
 	case outcome.ReasonRefusedBefore:
 	case outcome.ReasonConnect, outcome.ReasonHome:
 		t.tried = group.Configuration{}
-		if !c.pause(t, recheckPeriod) {
+		if !c.pause(t, t.backOff()) {
 			return false
 		}
 	case outcome.ReasonAnswerLost, outcome.ReasonAnswerTime, outcome.ReasonNotConfirmed:
@@ -61,6 +61,15 @@
 	return t.retried
 }
 
+const maxBackOff = 250 * time.Millisecond
+
+// backOff returns the pause before the next attempt to reach a database; it doubles each time.
+func (t *ticket) backOff() time.Duration {
+	const maxDoublings = 4
+	t.attempts++
+	return min(recheckPeriod<<min(t.attempts, maxDoublings), maxBackOff)
+}
+
 // attempt runs a request once; a failure means that nothing was relayed.
 func (c *caller) attempt(t *ticket) (alive bool, failure *outcome.Failure) {
 	where := &c.buffers.target
--- a/entry/internal/caller/server.go
+++ b/entry/internal/caller/server.go
@@ -195,13 +195,13 @@
 func (s *Server) watchKeys(ctx context.Context) {
 	subscription := s.cfg.Directory.Subscribe()
 	defer subscription.Close()
+	var checked inventory.Revision
 	for {
 		snapshot := s.cfg.Directory.Snapshot()
-		s.each(func(c *caller) {
-			if !c.granted(snapshot) {
-				c.interrupt(interruptKey)
-			}
-		})
+		if snapshot.Revision != checked {
+			checked = snapshot.Revision
+			s.closeWithdrawn(snapshot)
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -210,6 +210,14 @@
 	}
 }
 
+func (s *Server) closeWithdrawn(snapshot *directory.Snapshot) {
+	s.each(func(c *caller) {
+		if !c.granted(snapshot) {
+			c.interrupt(interruptKey)
+		}
+	})
+}
+
 // Drain tells idle callers to go and waits until none is left or the context ends.
 func (s *Server) Drain(ctx context.Context) {
 	s.stopping.Store(true)
--- a/entry/internal/caller/ticket.go
+++ b/entry/internal/caller/ticket.go
@@ -23,6 +23,8 @@
 	primary bool
 	// tried is the configuration that the last attempt failed under.
 	tried group.Configuration
+	// attempts counts the attempts that found no connection.
+	attempts int
 	// retried tells that a part of the retry budget was used already.
 	retried bool
 	view    route.View
--- a/entry/internal/command/entry.go
+++ b/entry/internal/command/entry.go
@@ -204,7 +204,7 @@
 	entries := max(1, len(snapshot.Inventory.Instances))
 	var all []pool.Target
 	for server := range snapshot.Servers {
-		if !server.Address.IsValid() {
+		if !server.Address.IsValid() || server.Health == protocol.HealthLeaving {
 			continue
 		}
 		all = append(all, pool.Target{
--- a/entry/internal/executor/first.go
+++ b/entry/internal/executor/first.go
@@ -170,9 +170,12 @@
 	if p.answers() == 0 {
 		return nil
 	}
+	// A preamble needs no work, so a connection that does not answer it is silent.
+	_ = t.conn.SetReadDeadline(t.sent.Add(probeTimeout))
 	if err := t.readPreamble(p); err != nil {
 		return t.lost(err)
 	}
+	_ = t.conn.SetReadDeadline(t.sent.Add(t.opening.AnswerFor))
 	return t.checkFloor()
 }
 
