Settings of control processes as they read them

Cause: fleet init wrote names that control's settings do not have. Change: listen and members with addresses.

--- a/control/internal/failover/scale_test.go
+++ b/control/internal/failover/scale_test.go
@@ -29,7 +29,7 @@
 		b.Run(fmt.Sprint(databases), func(b *testing.B) {
 			r, announcements := startLeader(b, databases)
 			for i := range announcements {
-				r.Announce(time.Now(), announcements[i])
+				_, _ = r.Announce(time.Now(), announcements[i])
 			}
 			b.ReportAllocs()
 			for n := 0; b.Loop(); n++ {
--- a/lentilctl/internal/plan/settings.go
+++ b/lentilctl/internal/plan/settings.go
@@ -34,20 +34,19 @@
 
 // member is one control process as the settings of the others name it.
 type member struct {
-	Name      inventory.InstanceName `json:"name"`
-	Peer      string                 `json:"peer"`
-	Operators string                 `json:"operators,omitempty"`
+	Name    inventory.InstanceName `json:"name"`
+	Address string                 `json:"address"`
 }
 
 func writeControlSettings(folder string, p *Plan, c Control) error {
 	members := make([]member, len(p.Control))
 	for i, other := range p.Control {
-		members[i] = member{other.Name, other.Peer, other.Operators}
+		members[i] = member{other.Name, other.Peer}
 	}
 	return writeJSON(filepath.Join(folder, settingsFile), "Settings of lentil-control; paths are relative to this file.", struct {
 		Name       inventory.InstanceName `json:"name"`
 		DataCentre inventory.DataCentre   `json:"dataCentre"`
-		Peer       string                 `json:"peer"`
+		Listen     string                 `json:"listen"`
 		Operators  string                 `json:"operators"`
 		HTTP       string                 `json:"http"`
 		Members    []member               `json:"members"`
@@ -56,7 +55,7 @@
 		EventsFile string                 `json:"eventsFile"`
 		LogLevel   string                 `json:"logLevel"`
 	}{
-		c.Name, c.DataCentre, c.Peer, c.Operators, c.HTTP, members, "data", ownIdentity(), string(c.Name) + ".events.jsonl", p.LogLevel,
+		c.Name, c.DataCentre, cmp.Or(c.Listen.Peer, c.Peer), cmp.Or(c.Listen.Operators, c.Operators), c.HTTP, members, "data", ownIdentity(), string(c.Name) + ".events.jsonl", p.LogLevel,
 	})
 }
 
