--- a/bench/internal/member/member.go
+++ b/bench/internal/member/member.go
@@ -65,9 +65,10 @@
 	received group.Position
 	applied  group.Position
 	target   Target
-	// joining is the term to report once the log has reached joinAt.
+	// joining is the term to report once the log has reached joinAt and joined is durable.
 	joining group.Term
 	joinAt  group.Position
+	joined  wal.Offset
 	// fresh is the newest moment at which all that the primary had is known to be applied.
 	fresh   time.Time
 	probes  []probe
@@ -213,9 +214,8 @@
 	for int(m.received) < len(m.log) && m.log[m.received].offset <= synced {
 		m.received++
 	}
-	if m.joining > m.term && m.received >= m.joinAt {
+	if m.joining > m.term && m.joined > 0 && m.joined <= synced {
 		m.term = m.joining
-		m.append(entry{Kind: entryTerm, Term: m.term})
 	}
 	m.applyDue(time.Now())
 }
--- a/bench/internal/member/replication.go
+++ b/bench/internal/member/replication.go
@@ -120,12 +120,26 @@
 	if int(welcome.Common) < len(m.log) {
 		m.truncate(welcome.Common)
 	}
-	m.joining, m.joinAt = source.Term, welcome.Began
+	m.joining, m.joinAt, m.joined = source.Term, welcome.Began, 0
+	end := m.join()
 	m.mu.Unlock()
+	if err := m.wal.Sync(end); err != nil {
+		return err
+	}
 	m.advance()
 	return nil
 }
 
+// join writes the followed term behind the records that it needs and returns what must be durable; the lock is held.
+//
+// A member that reported the term and forgot it in a crash would be passed over by a failover in favour of a shorter log.
+func (m *Member) join() walOffset {
+	if m.joining > m.term && m.joined == 0 && len(m.log) >= int(m.joinAt) {
+		m.joined = m.append(entry{Kind: entryTerm, Term: m.joining})
+	}
+	return m.joined
+}
+
 func (m *Member) truncate(position group.Position) {
 	m.append(entry{Kind: entryTruncate, Position: position})
 	m.log = m.log[:position:position]
@@ -156,6 +170,7 @@
 		end = m.append(entry{Kind: entryRecord, Record: &r})
 		m.log = append(m.log, logged{Record: r, offset: end, due: due})
 	}
+	end = max(end, m.join())
 	if !sent.IsZero() {
 		m.probes = append(m.probes, probe{sent: sent, end: batch.End})
 	}
