A test for each point at which a request fails

Cause: most rows of the table of outcomes had no test. Change: tests for quota, queue, answer time, repeatable routes, lost blocks, commits on a fenced primary, lost homes and tokens of others; a key that is withdrawn while its caller connects is found as well.

--- a/entry/internal/caller/caller.go
+++ b/entry/internal/caller/caller.go
@@ -123,6 +123,11 @@
 // serve answers requests until the caller goes or is closed.
 func (c *caller) serve() {
 	defer c.abandon()
+	if !c.granted(c.server.cfg.Directory.Snapshot()) {
+		// The key was withdrawn before this caller could be found by it.
+		c.dismiss(interruptKey)
+		return
+	}
 	for {
 		reason := c.wait(c.tx != nil || c.begin != "" || c.failed)
 		if reason != interruptNone {
--- a/entry/internal/caller/harness_test.go
+++ b/entry/internal/caller/harness_test.go
@@ -52,13 +52,18 @@
 	limits    caller.Limits
 	// forward makes entries send every transaction to a home.
 	forward bool
+	// stopHome ends the home.
+	stopHome context.CancelFunc
+	quota    caller.Quota
+	// connections is the limit of each pool.
+	connections int
 }
 
 func serverName(i int) group.Server { return group.Server(fmt.Sprintf("db-%d", i)) }
 
 func newFleet(t *testing.T, change func(*database.Config)) *fleet {
 	t.Helper()
-	f := &fleet{t: t, directory: directory.New(), secret: []byte("0123456789abcdef0123456789abcdef")}
+	f := &fleet{t: t, directory: directory.New(), secret: []byte("0123456789abcdef0123456789abcdef"), connections: 4}
 	f.limits = caller.Limits{
 		Callers: 1000, RequestBytes: 1 << 20, AnswerBytes: 64 << 10, RequestTimeout: 5 * time.Second, AnswerTimeout: 5 * time.Second,
 		ConfirmTimeout: 5 * time.Second, IdleInTransaction: time.Minute, SlowCaller: 5 * time.Second, StartupTimeout: 5 * time.Second,
@@ -185,7 +190,7 @@
 	e := &entry{pools: pool.NewSet()}
 	f.configure(e.pools)
 	e.server = caller.NewServer(caller.Config{
-		Directory: f.directory, Positions: keeper, Executor: f.newExecutor(e.pools), Signer: signer,
+		Directory: f.directory, Positions: keeper, Executor: f.newExecutor(e.pools), Signer: signer, Quota: f.quota,
 		PlainText: []netip.Prefix{netip.MustParsePrefix("127.0.0.0/8")}, Limits: f.limits, Events: recorder, Log: logs.Discard(),
 	}, listener)
 	e.url = "postgres://%s:%s@" + listener.Addr().String() + "/" + testService + "?sslmode=disable"
@@ -215,11 +220,13 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	home, sender := f.newEndpoint(authority, "entry-2"), f.newEndpoint(authority, "entry-1")
+	home, sender := f.newEndpoint(authority, homeName), f.newEndpoint(authority, "entry-1")
 	home.HandleStream(protocol.KindTransaction, executor.NewHome(local).ServeStream)
 	return executor.NewRouter(local, executor.NewRemote(sender), homes{home.Address()})
 }
 
+const homeName = "entry-2"
+
 type homes []netip.AddrPort
 
 func (h homes) Homes(_ group.Server, dst []netip.AddrPort) ([]netip.AddrPort, bool) {
@@ -255,6 +262,9 @@
 		f.t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	if name == homeName {
+		f.stopHome = cancel
+	}
 	done := make(chan error, 1)
 	go func() { done <- endpoint.Serve(ctx) }()
 	f.t.Cleanup(func() {
@@ -270,7 +280,7 @@
 	var targets []pool.Target
 	for i, db := range f.databases {
 		targets = append(targets, pool.Target{
-			Service: testService, Server: serverName(i), Address: netip.MustParseAddrPort(db.Address()), Limit: 4,
+			Service: testService, Server: serverName(i), Address: netip.MustParseAddrPort(db.Address()), Limit: f.connections,
 		})
 	}
 	pools.Configure(targets)
--- a/entry/internal/outcome/table.go
+++ b/entry/internal/outcome/table.go
@@ -9,7 +9,6 @@
 	ReasonNoLease        Reason = "noLease"
 	ReasonUnknownRoute   Reason = "unknownRoute"
 	ReasonRouteClosed    Reason = "routeClosed"
-	ReasonWrongService   Reason = "wrongService"
 	ReasonKeyInStatement Reason = "keyInStatement"
 	ReasonReservedName   Reason = "reservedName"
 	ReasonQuota          Reason = "quota"
@@ -49,9 +48,8 @@
 var Table = []Row{
 	{ReasonKeyWithdrawn, KeyWithdrawn, "not run: the key of this connection has been withdrawn", "Connect again with a granted key."},
 	{ReasonNoLease, NotRun, "not run: the entry has no valid configuration and serves only routes that allow it", hintAgain},
-	{ReasonUnknownRoute, NotRun, "not run: the request names an unknown route", "Correct the name of the route."},
+	{ReasonUnknownRoute, NotRun, "not run: the request names a route that the service does not have", "Correct the name of the route."},
 	{ReasonRouteClosed, NotRun, "not run: the route is not open to callers without a key", "Connect with a key."},
-	{ReasonWrongService, NotRun, "not run: the route belongs to another service", "Connect to the service of the route."},
 	{ReasonKeyInStatement, NotRun, "not run: the request contains the caller's key", "Send the key as the password only."},
 	{ReasonReservedName, NotRun, "not run: the request names a reserved parameter", "Do not use names that begin with lentilwind."},
 	{ReasonQuota, Quota, "not run: the workspace is over its rate", hintSlower},
