Placement: pool homes by rendezvous and leased connection budgets

Cause: the connections of a database were split over all entries, which ends at 20 entries, and homes that change need budgets that never add up to more than the limit. Change: a pure package that chooses homes (data centre first, then region) and leases budgets: a leader without durable state, a keeper for each entry, shares for 10 s by demand and floors for 10 minutes.

--- /dev/null
+++ b/lentilwind/placement/bench_test.go
@@ -0,0 +1,79 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+
+	"lentilwind.dev/lentilwind/group"
+	"lentilwind.dev/lentilwind/inventory"
+	"lentilwind.dev/lentilwind/placement"
+)
+
+// The size to design for.
+const (
+	fleetEntries   = 610
+	fleetDatabases = 1400
+	dataCentres    = 7
+)
+
+func fleetOfEntries() []placement.Entry {
+	entries := make([]placement.Entry, fleetEntries)
+	for i := range entries {
+		dc := i % dataCentres
+		entries[i] = placement.Entry{
+			Name:       inventory.InstanceName(fmt.Sprintf("entry-%d", i)),
+			DataCentre: inventory.DataCentre(fmt.Sprintf("dc-%d", dc)), Region: inventory.RegionName(fmt.Sprintf("region-%d", dc%2)),
+		}
+	}
+	return entries
+}
+
+func fleetOfDatabases() []placement.Database {
+	databases := make([]placement.Database, fleetDatabases)
+	for i := range databases {
+		dc := i % dataCentres
+		databases[i] = placement.Database{
+			ID:         group.ServerID{Service: group.Service(fmt.Sprintf("service-%d", i/3)), Server: group.Server(fmt.Sprintf("db-%d", i))},
+			DataCentre: inventory.DataCentre(fmt.Sprintf("dc-%d", dc)), Region: inventory.RegionName(fmt.Sprintf("region-%d", dc%2)),
+			Connections: connections,
+		}
+	}
+	return databases
+}
+
+// BenchmarkHomes finds the homes of one database of the fleet.
+func BenchmarkHomes(b *testing.B) {
+	entries, databases := fleetOfEntries(), fleetOfDatabases()
+	var homes []inventory.InstanceName
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		homes = placement.Homes(homes[:0], &databases[i%len(databases)], entries, 3)
+	}
+}
+
+// BenchmarkLeader answers one request of an entry that is a home of its share of the fleet's databases.
+func BenchmarkLeader(b *testing.B) {
+	entries, databases := fleetOfEntries(), fleetOfDatabases()
+	settings := placement.DefaultSettings()
+	leader := placement.NewLeader(settings, origin, true)
+	leader.SetDatabases(databases)
+	leader.SetEntries(entries)
+	keepers := make(map[inventory.InstanceName]*placement.Keeper)
+	usages := make(map[inventory.InstanceName][]placement.Usage)
+	for _, entry := range entries {
+		keepers[entry.Name] = placement.NewKeeper(settings, entry.Name, 1)
+	}
+	for i := range databases {
+		for _, home := range placement.Homes(nil, &databases[i], entries, settings.Homes) {
+			usages[home] = append(usages[home], placement.Usage{Database: databases[i].ID, Demand: i % connections})
+		}
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		name := entries[i%len(entries)].Name
+		request := keepers[name].Request(origin, usages[name])
+		if reply, answered := leader.Handle(origin, &request); !answered || !keepers[name].Receive(&reply) {
+			b.Fatal("a request was not answered")
+		}
+	}
+}
