Pool homes: each database has a few, other entries forward to them

Cause: split over all entries, 20 connections give 8 entries two each, and more than 20 entries none. Change: homes and their shares follow from the inventory by rendezvous; transactions of others take turns over the live homes; a share that was another entry's is used only after five seconds.

--- a/entry/internal/command/entry.go
+++ b/entry/internal/command/entry.go
@@ -54,6 +54,7 @@
 	keeper     *positions.Keeper
 	quota      *quota.Quota
 	pools      *pool.Set
+	placement  *executor.Placement
 	home       *executor.Home
 	server     *caller.Server
 
@@ -133,9 +134,10 @@
 	}
 	local := executor.NewLocal(e.pools)
 	e.home = executor.NewHome(local)
+	e.placement = executor.NewPlacement(s.Name)
 	e.endpoint.HandleStream(protocol.KindTransaction, e.home.ServeStream)
 	e.server = caller.NewServer(caller.Config{
-		Directory: e.directory, Positions: e.keeper, Executor: local, Quota: e.quota, Signer: signer,
+		Directory: e.directory, Positions: e.keeper, Executor: executor.NewRouter(local, executor.NewRemote(e.endpoint), e.placement), Quota: e.quota, Signer: signer,
 		TLS: e.identity.ServerOnly(), PlainText: s.Prefixes(), Limits: callerLimits(&s.Limits), Events: e.events, Log: e.log,
 	}, listener)
 	e.timers.Every(trimPeriod, e.pools.Trim)
@@ -186,30 +188,20 @@
 func (e *entry) followDirectory(ctx context.Context) error {
 	subscription := e.directory.Subscribe()
 	defer subscription.Close()
+	shares := executor.NewShares()
 	for {
-		e.pools.Configure(targets(e.directory.Snapshot()))
+		targets := e.placement.Follow(e.directory.Snapshot())
+		again := shares.Apply(targets, time.Now())
+		e.pools.Configure(targets)
+		var grown <-chan time.Time
+		if again > 0 {
+			grown = time.After(again)
+		}
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-subscription.Changed:
+		case <-grown:
 		}
 	}
 }
-
-// targets splits each server's connections over the entry instances of the inventory.
-func targets(snapshot *directory.Snapshot) []pool.Target {
-	if snapshot.Inventory == nil {
-		return nil
-	}
-	entries := max(1, len(snapshot.Inventory.Instances))
-	var all []pool.Target
-	for server := range snapshot.Servers {
-		if !server.Address.IsValid() || server.Health == protocol.HealthLeaving {
-			continue
-		}
-		all = append(all, pool.Target{
-			Service: server.Service, Server: server.Name, Address: server.Address, Limit: server.Connections / entries,
-		})
-	}
-	return all
-}
--- a/entry/internal/pool/set.go
+++ b/entry/internal/pool/set.go
@@ -35,7 +35,7 @@
 // Pool returns the pool of a server, or nil.
 func (s *Set) Pool(server group.Server) *Pool { return (*s.pools.Load())[server] }
 
-// Configure makes the set hold exactly the targets; pools that are no target any more end with their transactions.
+// Configure makes the set hold exactly the targets with an address; the pools of others end with their transactions.
 func (s *Set) Configure(targets []Target) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -43,6 +43,9 @@
 	left := maps.Clone(old)
 	pools := make(map[group.Server]*Pool, len(targets))
 	for _, target := range targets {
+		if !target.Address.IsValid() {
+			continue
+		}
 		p := left[target.Server]
 		delete(left, target.Server)
 		if p == nil {
