--- /dev/null
+++ b/control/internal/command/doc.go
@@ -0,0 +1,2 @@
+// Package command has the command line of a control process.
+package command
--- /dev/null
+++ b/control/internal/command/fleet_test.go
@@ -0,0 +1,282 @@
+package command_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"lentilwind.dev/control/internal/command"
+	"lentilwind.dev/control/internal/settings"
+	"lentilwind.dev/instance/identity"
+	"lentilwind.dev/instance/link"
+	"lentilwind.dev/instance/logs"
+	"lentilwind.dev/lentilwind/hlc"
+	"lentilwind.dev/lentilwind/inventory"
+	"lentilwind.dev/lentilwind/protocol"
+)
+
+// awaitLimit bounds every wait for an event.
+const awaitLimit = 30 * time.Second
+
+// fleet is a set of control processes with what operators and entries need to talk to them.
+type fleet struct {
+	t         *testing.T
+	dir       string
+	authority *identity.Authority
+	root      identity.Pair
+	block     int
+	members   []settings.Member
+	running   map[int]*running
+	http      *http.Client
+}
+
+// running is one control process that runs within the test.
+type running struct {
+	stop context.CancelFunc
+	done chan error
+}
+
+var blocks = make(chan int, 1)
+
+func init() { blocks <- 0 }
+
+func newFleet(t *testing.T, members int) *fleet {
+	t.Helper()
+	root, err := identity.NewAuthority("test", time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	authority, err := identity.LoadAuthority(root)
+	if err != nil {
+		t.Fatal(err)
+	}
+	block := <-blocks
+	blocks <- block + 1
+	f := &fleet{t: t, dir: t.TempDir(), root: root, authority: authority, block: block, running: map[int]*running{}}
+	for i := 1; i <= members; i++ {
+		f.members = append(f.members, settings.Member{Name: f.name(i), Address: f.address(i, 7101)})
+	}
+	operator, err := identity.Load(f.issue("operator", identity.RoleOperator))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.http = &http.Client{Transport: &http.Transport{TLSClientConfig: operator.Client("http/1.1")}, Timeout: 5 * time.Second}
+	t.Cleanup(func() {
+		for i := range f.running {
+			f.stop(i)
+		}
+	})
+	return f
+}
+
+func (f *fleet) name(i int) inventory.InstanceName {
+	return inventory.InstanceName(fmt.Sprintf("control-%d", i))
+}
+
+// address returns an address on a loopback network of this test process and fleet.
+func (f *fleet) address(host, port int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d:%d", 10+pid%200, (pid/200+f.block)%250+1, host, port)
+}
+
+func (f *fleet) issue(name string, role identity.Role) identity.Files {
+	f.t.Helper()
+	pair, err := f.authority.Issue(name, role, nil, time.Now(), time.Hour)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	files := identity.Files{
+		Authority:   filepath.Join(f.dir, "authority.pem"),
+		Certificate: filepath.Join(f.dir, name+".pem"),
+		Key:         filepath.Join(f.dir, name+"-key.pem"),
+	}
+	for path, data := range map[string][]byte{files.Authority: f.root.Certificate, files.Certificate: pair.Certificate, files.Key: pair.Key} {
+		if err := os.WriteFile(path, data, 0o600); err != nil {
+			f.t.Fatal(err)
+		}
+	}
+	return files
+}
+
+func (f *fleet) settings(i int) *settings.Settings {
+	s := &settings.Settings{
+		Name: f.name(i), DataCentre: "raquira", Members: f.members, LogLevel: "error",
+		Listen:     settings.Listen{Peers: f.address(i, 7101), Operators: f.address(i, 7201), HTTP: f.address(i, 7301)},
+		DataFolder: filepath.Join(f.dir, string(f.name(i))), EventsFile: filepath.Join(f.dir, string(f.name(i))+".events"),
+		Identity: f.issue(string(f.name(i)), identity.RoleControl),
+	}
+	if i > len(f.members) {
+		s.Members = nil
+	}
+	return s
+}
+
+func (f *fleet) start(hosts ...int) {
+	f.t.Helper()
+	for _, i := range hosts {
+		ctx, cancel := context.WithCancel(context.Background())
+		r := &running{stop: cancel, done: make(chan error, 1)}
+		s := f.settings(i)
+		go func() { r.done <- command.Run(ctx, s) }()
+		f.running[i] = r
+	}
+}
+
+func (f *fleet) stop(i int) {
+	f.t.Helper()
+	r := f.running[i]
+	delete(f.running, i)
+	r.stop()
+	select {
+	case err := <-r.done:
+		if err != nil {
+			f.t.Errorf("%s: %v", f.name(i), err)
+		}
+	case <-time.After(awaitLimit):
+		f.t.Errorf("%s does not stop", f.name(i))
+	}
+}
+
+// call sends one operator's request to a process; a refusal comes back as a *protocol.OperatorError.
+func (f *fleet) call(i int, method, path string, body, answer any) error {
+	payload, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequest(method, "https://"+f.address(i, 7201)+path, bytes.NewReader(payload))
+	if err != nil {
+		return err
+	}
+	response, err := f.http.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK {
+		refused := &protocol.OperatorError{}
+		if err := json.Unmarshal(data, refused); err != nil {
+			return fmt.Errorf("status %d: %s", response.StatusCode, data)
+		}
+		return refused
+	}
+	if raw, ok := answer.(*[]byte); ok {
+		*raw = data
+		return nil
+	}
+	return json.Unmarshal(data, answer)
+}
+
+// lead sends a request to the leader, whichever process it is, until one answers as the leader.
+func (f *fleet) lead(method, path string, body, answer any) (int, error) {
+	f.t.Helper()
+	deadline := time.Now().Add(awaitLimit)
+	var last error
+	for time.Now().Before(deadline) {
+		for i := range f.running {
+			err := f.call(i, method, path, body, answer)
+			var refused *protocol.OperatorError
+			switch {
+			case err == nil:
+				return i, nil
+			case errors.As(err, &refused) && refused.Code != protocol.ErrorNotLeader && refused.Code != protocol.ErrorUnavailable:
+				return i, err
+			}
+			last = err
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	f.t.Fatalf("no leader answered %s %s: %v", method, path, last)
+	return 0, nil
+}
+
+func (f *fleet) apply(operation string, base inventory.Revision, document string) (protocol.InventoryRecord, error) {
+	f.t.Helper()
+	var record protocol.InventoryRecord
+	_, err := f.lead(http.MethodPost, "/v1/inventory", protocol.ApplyInventory{
+		Operation: protocol.OperationID(operation), Base: base, Document: document,
+	}, &record)
+	return record, err
+}
+
+func (f *fleet) status() protocol.FleetStatus {
+	f.t.Helper()
+	var status protocol.FleetStatus
+	if _, err := f.lead(http.MethodGet, "/v1/status", nil, &status); err != nil {
+		f.t.Fatal(err)
+	}
+	return status
+}
+
+func (f *fleet) await(what string, condition func() bool) {
+	f.t.Helper()
+	deadline := time.Now().Add(awaitLimit)
+	for !condition() {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("waited in vain for %s", what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// document returns an inventory with one entry and one key; the number makes it differ from others.
+func document(number int) string {
+	return fmt.Sprintf(`{
+  // Number %d.
+  "regions": [{"name": "andina", "dataCentres": ["raquira"]}],
+  "instances": [{"name": "entry-1", "dataCentre": "raquira"}],
+  "workspaces": [{"name": "w1", "rate": %d, "burst": 20, "keys": []}],
+}`, number, number+1)
+}
+
+// endpoint opens an entry's end of the inner protocol.
+func (f *fleet) endpoint(name string) *link.Endpoint {
+	f.t.Helper()
+	source, err := identity.Load(f.issue(name, identity.RoleEntry))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	e, err := link.Listen(link.Config{
+		Listen: netip.MustParseAddrPort("127.0.0.1:0"), Name: inventory.InstanceName(name), Incarnation: 1,
+		Identity: source, Clock: &hlc.Clock{}, Log: logs.Discard(),
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- e.Serve(ctx) }()
+	f.t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			f.t.Error(err)
+		}
+	})
+	return e
+}
+
+// renew sends one renewal to a process.
+func (f *fleet) renew(e *link.Endpoint, i int, name string, applied inventory.Revision, wait time.Duration) (protocol.RenewReply, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	var reply protocol.RenewReply
+	err := e.Call(ctx, netip.MustParseAddrPort(f.address(i, 7101)), protocol.KindRenew, protocol.RenewRequest{
+		Entries: []protocol.EntryReport{{
+			Name: inventory.InstanceName(name), Incarnation: 1, DataCentre: "raquira", Address: "127.0.0.1:1", Applied: applied,
+		}},
+		Inventory: applied, Wait: wait,
+	}, &reply)
+	return reply, err
+}
--- /dev/null
+++ b/control/internal/command/root.go
@@ -0,0 +1,83 @@
+package command
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/spf13/cobra"
+
+	"lentilwind.dev/control/internal/settings"
+	"lentilwind.dev/control/internal/storage"
+	"lentilwind.dev/lentilwind/jsonc"
+)
+
+// Exit codes of the program.
+const (
+	exitOK      = 0
+	exitFailure = 1
+	// exitSettings means that the settings file is refused.
+	exitSettings = 2
+	// exitDamaged means that the data folder is damaged and the member must be replaced.
+	exitDamaged = 3
+)
+
+// Execute runs the command line and returns the exit code.
+func Execute(args []string, stdout, stderr io.Writer) int {
+	root := newRoot()
+	root.SetArgs(args)
+	root.SetOut(stdout)
+	root.SetErr(stderr)
+	err := root.Execute()
+	if err == nil {
+		return exitOK
+	}
+	_, _ = fmt.Fprintln(stderr, "lentil-control:", err)
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	var refused *jsonc.Error
+	var damaged *storage.CorruptionError
+	switch {
+	case errors.As(err, &refused):
+		return exitSettings
+	case errors.As(err, &damaged):
+		return exitDamaged
+	}
+	return exitFailure
+}
+
+func newRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "lentil-control",
+		Short:         "Keeps the replicated state of a lentilwind fleet",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(newRun(), newCheckConfig(), newRestore())
+	return root
+}
+
+// withSettings adds the flag for the settings file and reads the file before the command runs.
+func withSettings(cmd *cobra.Command, run func(cmd *cobra.Command, s *settings.Settings) error) *cobra.Command {
+	var path string
+	cmd.Flags().StringVar(&path, "settings", "settings.jsonc", "settings file")
+	cmd.Args = cobra.NoArgs
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		s, err := settings.Read(path)
+		if err != nil {
+			return err
+		}
+		return run(cmd, s)
+	}
+	return cmd
+}
+
+func newCheckConfig() *cobra.Command {
+	cmd := &cobra.Command{Use: "check-config", Short: "Check the settings file and report every problem"}
+	return withSettings(cmd, func(cmd *cobra.Command, _ *settings.Settings) error {
+		cmd.Println("the settings are valid")
+		return nil
+	})
+}
--- /dev/null
+++ b/control/internal/quota/doc.go
@@ -0,0 +1,2 @@
+// Package quota answers entries' draws while this control process leads.
+package quota
--- a/control/internal/replica/fleet.go
+++ b/control/internal/replica/fleet.go
@@ -39,7 +39,7 @@
 		return nil, &protocol.Refusal{Code: protocol.CodeNotPermitted, Message: "only control processes may ask"}
 	}
 	reply := helloReply{
-		Member: r.store.Identity().Member, Name: r.cfg.Settings.Name, Operators: r.cfg.Settings.Operators,
+		Member: r.store.Identity().Member, Name: r.cfg.Settings.Name, Operators: r.cfg.Settings.OperatorsAddress(),
 		Listed: r.cfg.Settings.Members,
 	}
 	err := r.ask(ctx, func(time.Time) []journal.Effect {
@@ -111,7 +111,7 @@
 func (r *Replica) greet(ctx context.Context, member settings.Member) (helloReply, error) {
 	if member.Name == r.cfg.Settings.Name {
 		return helloReply{
-			Member: r.store.Identity().Member, Name: member.Name, Operators: r.cfg.Settings.Operators, Fresh: true,
+			Member: r.store.Identity().Member, Name: member.Name, Operators: r.cfg.Settings.OperatorsAddress(), Fresh: true,
 			Listed: r.cfg.Settings.Members,
 		}, nil
 	}
--- a/control/internal/replica/replica.go
+++ b/control/internal/replica/replica.go
@@ -121,16 +121,6 @@
 	return nil
 }
 
-// address returns where other members reach this one.
-func (r *Replica) address() string {
-	for _, member := range r.cfg.Settings.Members {
-		if member.Name == r.cfg.Settings.Name {
-			return member.Address
-		}
-	}
-	return r.cfg.Settings.Listen
-}
-
 // Run takes part in the journal until the context ends or the disk fails.
 func (r *Replica) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
--- a/control/internal/settings/settings.go
+++ b/control/internal/settings/settings.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"cmp"
 	"fmt"
 	"regexp"
 
@@ -18,12 +19,9 @@
 	// Name is the instance's name; it must be the name in its certificate.
 	Name       inventory.InstanceName `json:"name"`
 	DataCentre inventory.DataCentre   `json:"dataCentre"`
-	// Listen is the address for other processes of the fleet.
-	Listen string `json:"listen"`
-	// Operators is the address for operators, with certificates.
-	Operators string `json:"operators"`
-	// HTTP is the address for health and metrics, without certificates.
-	HTTP string `json:"http"`
+	Listen     Listen                 `json:"listen"`
+	// Advertise holds the addresses that others dial, where they differ from the ones listened on.
+	Advertise Advertise `json:"advertise,omitzero"`
 	// Members lists the control processes that begin a new fleet, with this one.
 	Members []Member `json:"members"`
 	// DataFolder holds the journal.
@@ -34,6 +32,22 @@
 	LogLevel   string `json:"logLevel,omitempty"`
 }
 
+// Listen is the addresses of a control process, as IP and port.
+type Listen struct {
+	// Peers is the UDP address for other processes of the fleet.
+	Peers string `json:"peers"`
+	// Operators is the address for operators, with certificates.
+	Operators string `json:"operators"`
+	// HTTP is the address for health and metrics, without certificates.
+	HTTP string `json:"http"`
+}
+
+// Advertise is the addresses that others dial; empty ones are as listened on.
+type Advertise struct {
+	Peers     string `json:"peers,omitempty"`
+	Operators string `json:"operators,omitempty"`
+}
+
 // Member is one control process of a new fleet.
 type Member struct {
 	Name    inventory.InstanceName `json:"name"`
@@ -64,13 +78,34 @@
 	}
 }
 
+// PeersAddress returns where other processes reach this one.
+func (s *Settings) PeersAddress() string {
+	for _, member := range s.Members {
+		if member.Name == s.Name && s.Advertise.Peers == "" {
+			return member.Address
+		}
+	}
+	return cmp.Or(s.Advertise.Peers, s.Listen.Peers)
+}
+
+// OperatorsAddress returns where operators reach this process.
+func (s *Settings) OperatorsAddress() string {
+	return cmp.Or(s.Advertise.Operators, s.Listen.Operators)
+}
+
 // Check returns every problem with the JSON pointer of each.
 func (s *Settings) Check() []jsonc.Problem {
 	problems := settings.CheckPresent("/name", string(s.Name), "write the name of this instance")
 	problems = append(problems, settings.CheckPresent("/dataCentre", string(s.DataCentre), "write the data centre of this instance")...)
-	problems = append(problems, settings.CheckAddress("/listen", s.Listen)...)
-	problems = append(problems, settings.CheckAddress("/operators", s.Operators)...)
-	problems = append(problems, settings.CheckAddress("/http", s.HTTP)...)
+	problems = append(problems, settings.CheckAddress("/listen/peers", s.Listen.Peers)...)
+	problems = append(problems, settings.CheckAddress("/listen/operators", s.Listen.Operators)...)
+	problems = append(problems, settings.CheckAddress("/listen/http", s.Listen.HTTP)...)
+	if s.Advertise.Peers != "" {
+		problems = append(problems, settings.CheckAddress("/advertise/peers", s.Advertise.Peers)...)
+	}
+	if s.Advertise.Operators != "" {
+		problems = append(problems, settings.CheckAddress("/advertise/operators", s.Advertise.Operators)...)
+	}
 	problems = append(problems, settings.CheckPresent("/identity/authority", s.Identity.Authority, "name the authority's certificate file")...)
 	problems = append(problems, settings.CheckPresent("/identity/certificate", s.Identity.Certificate, "name the certificate file")...)
 	problems = append(problems, settings.CheckPresent("/identity/key", s.Identity.Key, "name the key file")...)
--- a/control/internal/settings/settings_test.go
+++ b/control/internal/settings/settings_test.go
@@ -22,7 +22,7 @@
 
 func TestEveryProblemIsReported(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "settings.jsonc")
-	text := `{"name": "a", "listen": "here", "colour": 1, "members": [{"name": "b", "address": "127.0.0.1:1"}]}`
+	text := `{"name": "a", "listen": {"peers": "here"}, "colour": 1, "members": [{"name": "b", "address": "127.0.0.1:1"}]}`
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/lentilctl/internal/plan/settings.go
+++ b/lentilctl/internal/plan/settings.go
@@ -34,29 +34,43 @@
 
 // member is one control process as the settings of the others name it.
 type member struct {
-	Name      inventory.InstanceName `json:"name"`
-	Peer      string                 `json:"peer"`
-	Operators string                 `json:"operators,omitempty"`
+	Name    inventory.InstanceName `json:"name"`
+	Address string                 `json:"address"`
+}
+
+// controlListen is the addresses that a control process listens on.
+type controlListen struct {
+	Peers     string `json:"peers"`
+	Operators string `json:"operators"`
+	HTTP      string `json:"http"`
+}
+
+// controlAdvertise is the addresses that others dial, where they differ.
+type controlAdvertise struct {
+	Peers     string `json:"peers,omitempty"`
+	Operators string `json:"operators,omitempty"`
 }
 
 func writeControlSettings(folder string, p *Plan, c Control) error {
 	members := make([]member, len(p.Control))
 	for i, other := range p.Control {
-		members[i] = member{other.Name, other.Peer, other.Operators}
+		members[i] = member{other.Name, other.Peer}
 	}
 	return writeJSON(filepath.Join(folder, settingsFile), "Settings of lentil-control; paths are relative to this file.", struct {
 		Name       inventory.InstanceName `json:"name"`
 		DataCentre inventory.DataCentre   `json:"dataCentre"`
-		Peer       string                 `json:"peer"`
-		Operators  string                 `json:"operators"`
-		HTTP       string                 `json:"http"`
+		Listen     controlListen          `json:"listen"`
+		Advertise  controlAdvertise       `json:"advertise,omitzero"`
 		Members    []member               `json:"members"`
 		DataFolder string                 `json:"dataFolder"`
 		Identity   identity.Files         `json:"identity"`
 		EventsFile string                 `json:"eventsFile"`
-		LogLevel   string                 `json:"logLevel"`
+		LogLevel   string                 `json:"logLevel,omitempty"`
 	}{
-		c.Name, c.DataCentre, c.Peer, c.Operators, c.HTTP, members, "data", ownIdentity(), string(c.Name) + ".events.jsonl", p.LogLevel,
+		c.Name, c.DataCentre,
+		controlListen{cmp.Or(c.Listen.Peer, c.Peer), cmp.Or(c.Listen.Operators, c.Operators), c.HTTP},
+		controlAdvertise{advertised(c.Peer, c.Listen.Peer), advertised(c.Operators, c.Listen.Operators)},
+		members, "data", ownIdentity(), string(c.Name) + ".events.jsonl", p.LogLevel,
 	})
 }
 
--- a/lentilwind/catalog/state.go
+++ b/lentilwind/catalog/state.go
@@ -47,10 +47,10 @@
 	return s.records[i], true
 }
 
-// History returns the accepted inventories without their documents, newest first.
+// History returns the accepted inventories without their documents, newest last.
 func (s *State) History() []protocol.InventoryRecord {
 	history := make([]protocol.InventoryRecord, 0, len(s.records))
-	for _, record := range slices.Backward(s.records) {
+	for _, record := range s.records {
 		record.Document = ""
 		history = append(history, record)
 	}
