Ask homes in reach first

Cause: a dead home costs the first attempt of each transaction up to the handshake timeout. Change: a home that could not be reached is asked last for two seconds.

--- a/entry/internal/executor/router.go
+++ b/entry/internal/executor/router.go
@@ -1,8 +1,12 @@
 package executor
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
+	"slices"
+	"sync"
+	"time"
 
 	"lentilwind.dev/entry/internal/outcome"
 	"lentilwind.dev/lentilwind/group"
@@ -20,6 +24,18 @@
 	local  *Local
 	remote *Remote
 	homes  Homes
+
+	// failed holds when each home was last found to be out of reach.
+	failed sync.Map
+}
+
+// avoidFor is how long a home that could not be reached is asked last.
+const avoidFor = 2 * time.Second
+
+// reachable tells whether a home is worth the first attempt.
+func (r *Router) reachable(home netip.AddrPort, now time.Time) bool {
+	at, found := r.failed.Load(home)
+	return !found || now.Sub(at.(time.Time)) > avoidFor
 }
 
 // NewRouter returns an executor that follows the homes.
@@ -37,6 +53,10 @@
 	if local {
 		return r.local.Open(ctx, opening)
 	}
+	now := time.Now()
+	slices.SortStableFunc(homes, func(a, b netip.AddrPort) int {
+		return cmp.Compare(rank(r.reachable(a, now)), rank(r.reachable(b, now)))
+	})
 	failure := outcome.At(outcome.ReasonHome, nil)
 	for _, home := range homes {
 		tx, err := r.remote.Open(ctx, home, opening)
@@ -47,6 +67,15 @@
 		if failure.Reason != outcome.ReasonHome {
 			break
 		}
+		r.failed.Store(home, time.Now())
 	}
 	return nil, failure
 }
+
+// rank puts homes in reach first.
+func rank(reachable bool) int {
+	if reachable {
+		return 0
+	}
+	return 1
+}
