A server that is not known yet is waited for

Cause: a request right behind the start met a home whose pools were not set up yet and was refused. Change: such a request is tried again within its time.

--- a/entry/internal/caller/run.go
+++ b/entry/internal/caller/run.go
@@ -40,7 +40,7 @@
 		t.primary = true
 		return again
 	case outcome.ReasonRefusedBefore:
-	case outcome.ReasonConnect, outcome.ReasonHome:
+	case outcome.ReasonConnect, outcome.ReasonHome, outcome.ReasonNoServer:
 		t.tried = group.Configuration{}
 		if !c.pause(t, t.backOff()) {
 			return false
