Connections ahead of need, bounded opening of forwarded transactions, pool tests

Cause: the first transactions after a start waited for connections; an endpoint without free streams could hold one for ever. Change: each home keeps two connections to a server ready; a forwarded transaction is opened within its queue time; refusals for a missing lease are no longer on the time line one by one.

--- a/entry/internal/caller/caller.go
+++ b/entry/internal/caller/caller.go
@@ -187,6 +187,8 @@
 func (c *caller) ended(err error) {
 	var netErr net.Error
 	switch {
+	case errors.As(err, &netErr) && netErr.Timeout() && c.buffers != nil:
+		c.fatal(&outcome.Failure{State: outcome.ProtocolViolation, Message: "not run: the rest of the request did not come in time"})
 	case errors.As(err, &netErr) && netErr.Timeout():
 		c.fatal(&outcome.Failure{State: "25P03", Message: "the transaction was idle for too long and has been rolled back"})
 	case errors.Is(err, errTooLarge):
--- a/entry/internal/caller/refuse.go
+++ b/entry/internal/caller/refuse.go
@@ -74,7 +74,7 @@
 		c.server.cfg.Events.Record(events.Event{
 			Kind: events.KindKeyWithdrawn, Workspace: string(c.workspace), Service: string(c.service),
 		})
-	case outcome.ReasonKeyInStatement, outcome.ReasonReservedName, outcome.ReasonNoLease:
+	case outcome.ReasonKeyInStatement, outcome.ReasonReservedName:
 		c.server.cfg.Events.Record(events.Event{
 			Kind: events.KindRequestRefused, Workspace: string(c.workspace), Service: string(c.service), Detail: string(f.Reason),
 		})
--- a/entry/internal/command/entry.go
+++ b/entry/internal/command/entry.go
@@ -184,6 +184,18 @@
 	return slices.Compact(running)
 }
 
+// warmConnections is the number of connections to a server that are opened ahead of need.
+const warmConnections = 2
+
+// warm opens connections to each server whose pool has fewer.
+func (e *entry) warm(ctx context.Context) {
+	e.pools.Each(func(_ group.Server, p *pool.Pool) {
+		if p.Usage().Open < warmConnections {
+			go p.Warm(ctx, warmConnections)
+		}
+	})
+}
+
 // followDirectory keeps the pools at the servers and limits of the newest snapshot.
 func (e *entry) followDirectory(ctx context.Context) error {
 	subscription := e.directory.Subscribe()
@@ -193,6 +205,7 @@
 		targets := e.placement.Follow(e.directory.Snapshot())
 		again := shares.Apply(targets, time.Now())
 		e.pools.Configure(targets)
+		e.warm(ctx)
 		var grown <-chan time.Time
 		if again > 0 {
 			grown = time.After(again)
--- a/entry/internal/executor/remote.go
+++ b/entry/internal/executor/remote.go
@@ -31,6 +31,8 @@
 
 // Open opens a transaction at a home; a write waits until the home has a connection, so that a lost home loses no write.
 func (r *Remote) Open(ctx context.Context, home netip.AddrPort, opening *protocol.Forward) (Transaction, error) {
+	ctx, cancel := context.WithTimeout(ctx, opening.QueueFor)
+	defer cancel()
 	stream, err := r.link.Open(ctx, home, protocol.KindTransaction, opening)
 	if err != nil {
 		return nil, outcome.At(outcome.ReasonHome, err)
--- a/entry/internal/pool/pool.go
+++ b/entry/internal/pool/pool.go
@@ -21,6 +21,9 @@
 // maxIdleFor is how long a connection stays open without use.
 const maxIdleFor = 5 * time.Minute
 
+// warmTimeout bounds the opening of one connection ahead of need.
+const warmTimeout = 5 * time.Second
+
 // Want is what a transaction asks of a pool.
 type Want struct {
 	Scope Scope
@@ -110,6 +113,24 @@
 	}
 }
 
+// Warm opens connections ahead of need, up to n in all.
+func (p *Pool) Warm(ctx context.Context, n int) {
+	for ctx.Err() == nil {
+		p.mu.Lock()
+		if p.closed || p.open >= min(n, p.limit) {
+			p.mu.Unlock()
+			return
+		}
+		p.open++
+		p.mu.Unlock()
+		conn, err := p.dialUntil(ctx, time.Now().Add(warmTimeout))
+		if err != nil {
+			return
+		}
+		p.Release(conn, true)
+	}
+}
+
 // reserve takes an idle connection, or the right to open one when it returns neither a connection nor an error.
 func (p *Pool) reserve(ctx context.Context, want *Want) (*Conn, error) {
 	p.mu.Lock()
--- /dev/null
+++ b/entry/internal/pool/pool_test.go
@@ -0,0 +1,153 @@
+package pool_test
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"lentilwind.dev/bench/database"
+	"lentilwind.dev/entry/internal/pool"
+	"lentilwind.dev/lentilwind/group"
+	"lentilwind.dev/lentilwind/inventory"
+)
+
+const patience = 10 * time.Second
+
+func newPool(t *testing.T, limit int) (*pool.Pool, *database.Server) {
+	t.Helper()
+	service, err := database.StartService(database.Config{Service: "inventario-1", DataCentre: "raquira"}, "db-0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := pool.NewPool("inventario-1", "db-0", netip.MustParseAddrPort(service[0].Address()), limit)
+	t.Cleanup(func() {
+		p.Close()
+		_ = service.Close()
+	})
+	return p, service[0]
+}
+
+func want(workspace inventory.WorkspaceName, wait time.Duration) *pool.Want {
+	return &pool.Want{
+		Scope:    pool.Scope{Workspace: workspace, Term: 1, Access: inventory.AccessWrite},
+		Class:    pool.Class{Workspace: workspace, Weight: 1},
+		Deadline: time.Now().Add(wait),
+	}
+}
+
+func acquire(t *testing.T, p *pool.Pool, w *pool.Want) *pool.Conn {
+	t.Helper()
+	conn, err := p.Acquire(context.Background(), w)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
+
+func TestPoolOpensNoMoreThanItsLimit(t *testing.T) {
+	p, server := newPool(t, 3)
+	var g errgroup.Group
+	for range 30 {
+		g.Go(func() error {
+			conn, err := p.Acquire(context.Background(), want("florists", patience))
+			if err != nil {
+				return err
+			}
+			defer p.Release(conn, true)
+			if server.Connections() > 3 {
+				return errors.New("too many connections")
+			}
+			return nil
+		})
+	}
+	if err := g.Wait(); err != nil {
+		t.Error(err)
+	}
+	if usage := p.Usage(); usage.Open > 3 || usage.Open != usage.Idle || usage.Waiting != 0 {
+		t.Errorf("%+v", usage)
+	}
+}
+
+func TestClosedConnectionMakesRoomForTheNextTransaction(t *testing.T) {
+	p, _ := newPool(t, 1)
+	first := acquire(t, p, want("florists", patience))
+	done := make(chan error, 1)
+	go func() {
+		conn, err := p.Acquire(context.Background(), want("stallholders", patience))
+		if err == nil {
+			p.Release(conn, true)
+		}
+		done <- err
+	}()
+	for end := time.Now().Add(patience); p.Usage().Waiting == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the second transaction does not wait")
+		}
+	}
+	p.Release(first, false)
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
+
+func TestWaitEndsAtItsDeadline(t *testing.T) {
+	p, _ := newPool(t, 1)
+	conn := acquire(t, p, want("florists", patience))
+	if _, err := p.Acquire(context.Background(), want("stallholders", 20*time.Millisecond)); !errors.Is(err, pool.ErrRefused) {
+		t.Errorf("got %v", err)
+	}
+	p.Release(conn, true)
+	p.Release(acquire(t, p, want("stallholders", patience)), true)
+}
+
+func TestConnectionsThatTheDatabaseClosedAreNotUsed(t *testing.T) {
+	p, server := newPool(t, 2)
+	p.Warm(context.Background(), 2)
+	if usage := p.Usage(); usage.Idle != 2 {
+		t.Fatalf("%+v", usage)
+	}
+	for _, conn := range []*pool.Conn{acquire(t, p, want("florists", patience)), acquire(t, p, want("florists", patience))} {
+		// A connection that has just answered is not looked at.
+		conn.Proven = time.Time{}
+		p.Release(conn, true)
+	}
+	server.Drop()
+	for end := time.Now().Add(patience); server.Connections() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the connections stay open")
+		}
+	}
+	conn := acquire(t, p, want("florists", patience))
+	defer p.Release(conn, true)
+	if _, err := conn.Write(pool.AppendQuery(nil, "SELECT 1")); err != nil {
+		t.Error(err)
+	}
+	if _, err := conn.R.Peek(1); err != nil {
+		t.Errorf("a dead connection was given out: %v", err)
+	}
+}
+
+func TestRunningWritesAreTold(t *testing.T) {
+	p, _ := newPool(t, 2)
+	conn := acquire(t, p, want("florists", patience))
+	count := func() (n int) {
+		p.Writing(func(id group.ID, term group.Term) {
+			if id.Service != "inventario-1" || term != 1 {
+				t.Errorf("%v, term %d", id, term)
+			}
+			n++
+		})
+		return n
+	}
+	if count() != 1 {
+		t.Error("a running write is not told")
+	}
+	p.Release(conn, true)
+	if count() != 0 {
+		t.Error("an ended write is told")
+	}
+}
