Every entry is a home while that leaves each two connections

Cause: forwarding costs a hop between processes and a stream for each transaction. Change: the number of homes of a database is its connections over two, up to all entries, and three at least.

--- a/entry/internal/executor/placement.go
+++ b/entry/internal/executor/placement.go
@@ -19,7 +19,6 @@
 // Homes and their shares follow from the inventory alone, so that all entries of one revision agree on them without a message.
 type Placement struct {
 	self    inventory.InstanceName
-	count   int
 	servers atomic.Pointer[map[group.Server]*placed]
 	turn    atomic.Uint32
 }
@@ -75,7 +74,7 @@
 
 // NewPlacement returns a placement that knows no server yet.
 func NewPlacement(self inventory.InstanceName) *Placement {
-	p := &Placement{self: self, count: placement.DefaultSettings().Homes}
+	p := &Placement{self: self}
 	p.servers.Store(&map[group.Server]*placed{})
 	return p
 }
@@ -103,13 +102,22 @@
 		s := &placed{local: slices.Contains(names, p.self), homes: p.addresses(snapshot, names)}
 		servers[server.Name] = s
 		if s.local {
-			targets = append(targets, newTarget(server, server.Connections/len(names)))
+			targets = append(targets, newTarget(server, share(server.Connections, names, p.self)))
 		}
 	}
 	p.servers.Store(&servers)
 	return targets
 }
 
+// share divides connections evenly; the best homes get what is left over.
+func share(connections int, homes []inventory.InstanceName, self inventory.InstanceName) int {
+	n := connections / len(homes)
+	if slices.Index(homes, self) < connections%len(homes) {
+		n++
+	}
+	return n
+}
+
 func newTarget(server *directory.Server, limit int) pool.Target {
 	target := pool.Target{Service: server.Service, Server: server.Name, Limit: limit}
 	if server.Health != protocol.HealthLeaving {
@@ -136,7 +144,15 @@
 	return placement.Homes(nil, &placement.Database{
 		ID: group.ServerID{Service: server.Service, Server: server.Name}, DataCentre: server.DataCentre,
 		Region: snapshot.Region(server.DataCentre), Connections: server.Connections,
-	}, entries, p.count)
+	}, entries, homeCount(server.Connections, len(entries)))
+}
+
+// minShare is the least number of connections that makes an entry worth being a home.
+const minShare = 2
+
+// homeCount lets every entry be a home while that leaves each enough connections, since forwarding costs time.
+func homeCount(connections, entries int) int {
+	return max(placement.DefaultSettings().Homes, min(entries, connections/minShare))
 }
 
 func (p *Placement) addresses(snapshot *directory.Snapshot, names []inventory.InstanceName) []netip.AddrPort {
--- a/entry/internal/executor/placement_test.go
+++ b/entry/internal/executor/placement_test.go
@@ -57,7 +57,7 @@
 			}
 		}
 		for server, n := range sum {
-			if n > 20 || n < 18 {
+			if n != 20 {
 				t.Errorf("%d instances: %s gets %d connections", instances, server, n)
 			}
 		}
