A started fleet has a primary in every group

Cause: the first write after a start met entries that knew no primary yet. Change: the fleet waits until control shows a primary for each group.

--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -15,6 +15,7 @@
 	"lentilwind.dev/bench/relay"
 	"lentilwind.dev/lentilwind/group"
 	"lentilwind.dev/lentilwind/inventory"
+	"lentilwind.dev/lentilwind/protocol"
 )
 
 const (
@@ -127,7 +128,45 @@
 	if _, err := f.Lentilctl(ctx, "inventory", "apply", document, "--base", "0", "--wait=false"); err != nil {
 		return err
 	}
-	return f.WaitReady(ctx)
+	if err := f.WaitReady(ctx); err != nil {
+		return err
+	}
+	return f.waitPrimaries(ctx)
+}
+
+// waitPrimaries waits until every group has a primary.
+func (f *Fleet) waitPrimaries(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for {
+		missing, err := f.missingPrimaries(ctx)
+		if err == nil && missing == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Join(fmt.Errorf("fleet: %d groups have no primary", missing), err)
+		case <-time.After(readyPoll):
+		}
+	}
+}
+
+func (f *Fleet) missingPrimaries(ctx context.Context) (int, error) {
+	missing := f.Layout.Services * f.Layout.Slots
+	out, err := f.Lentilctl(ctx, "status")
+	if err != nil {
+		return missing, err
+	}
+	var status protocol.FleetStatus
+	if err := json.Unmarshal(out, &status); err != nil {
+		return missing, fmt.Errorf("fleet: status: %w", err)
+	}
+	for _, g := range status.Groups {
+		if g.Primary != "" {
+			missing--
+		}
+	}
+	return missing, nil
 }
 
 func (f *Fleet) startAll() error {
