--- a/bench/internal/experiment/experiment.go
+++ b/bench/internal/experiment/experiment.go
@@ -65,6 +65,10 @@
 	if err != nil {
 		return nil, err
 	}
+	// Settings files name paths relative to themselves, so a relative folder would not do.
+	if options.Out, err = filepath.Abs(options.Out); err != nil {
+		return nil, fmt.Errorf("experiment: %w", err)
+	}
 	e := &experiment{Options: options}
 	e.say("starting %d control processes, %d entries and %d databases", layout.Control, layout.Entries, layout.Services*layout.Replicas)
 	f, err := fleet.Start(ctx, layout, fleet.Options{Bin: options.Bin, Dir: filepath.Join(options.Out, "fleet"), Relays: options.Network})
