--- a/bench/checker/checker.go
+++ b/bench/checker/checker.go
@@ -113,7 +113,7 @@
 		Failovers:        j.failovers(),
 		Workspaces:       j.shares(),
 		AddedLatencyUs:   j.addedLatency(),
-		Skipped:          slices.Concat([]string{}, run.Skipped),
+		Skipped:          append([]string{}, run.Skipped...),
 	}
 	s.Faults = j.faultRows(s.Failovers)
 	for _, r := range j.requests {
--- a/bench/internal/experiment/scenario.go
+++ b/bench/internal/experiment/scenario.go
@@ -78,7 +78,7 @@
 
 const (
 	surging       = 3
-	surgeSessions = 4
+	surgeSessions = 30
 )
 
 func quotas(layout fleet.Layout) []checker.Quota {
--- a/bench/internal/load/probe.go
+++ b/bench/internal/load/probe.go
@@ -60,6 +60,10 @@
 	ctx, cancel := context.WithTimeout(ctx, RequestTimeout)
 	defer cancel()
 	err := l.probeConnect(ctx, service, conn, r)
+	if err != nil && *conn != nil {
+		_ = (*conn).Close(ctx)
+		*conn = nil
+	}
 	r.Scheduled = time.Now()
 	r.Invoked = r.Scheduled
 	if err != nil {
@@ -81,10 +85,9 @@
 		*conn, err = l.dialEntry(ctx, l.cfg.Entries[0], service, credentials{l.cfg.Probe, l.key(l.cfg.Probe), ""})
 	}
 	if *conn == nil && r.Path == history.PathDirect {
-		*conn, err = DialReader(ctx, l.cfg.Local, service.Databases[0], service.Name)
+		*conn, err = l.dialAny(ctx, service)
 	}
 	if err != nil {
-		*conn = nil
 		return err
 	}
 	if r.Path == history.PathEntry {
@@ -94,6 +97,19 @@
 	return SetReaderScope(ctx, *conn, l.cfg.Probe, r.Slot)
 }
 
+// dialAny connects to the first database that answers.
+func (l *Load) dialAny(ctx context.Context, service *Service) (*pgx.Conn, error) {
+	var failed error
+	for _, address := range service.Databases {
+		conn, err := DialReader(ctx, l.cfg.Local, address, service.Name)
+		if err == nil {
+			return conn, nil
+		}
+		failed = errors.Join(failed, err)
+	}
+	return nil, failed
+}
+
 // DialReader connects to a database without counting against its limit.
 func DialReader(ctx context.Context, local netip.Addr, address string, service group.Service) (*pgx.Conn, error) {
 	cfg, err := pgx.ParseConfig(fmt.Sprintf("postgres://%s@%s/%s?sslmode=disable", database.UserReader, address, service))
