Replace a primary that answers but reaches no majority; spread primaries

Cause: a primary cut off from its replicas alone kept its role while no write could be acknowledged, and its tail won the choice. Change: replicas that hear nothing for 6 s while the primary has more than they bring a new term, in which a majority without that primary is enough. Among equal logs the server with the fewest primaries of the service wins. A new leader's topology is full after 2.5 s.

--- a/control/internal/failover/leadership.go
+++ b/control/internal/failover/leadership.go
@@ -131,11 +131,24 @@
 	}
 	cfg := l.cfg.Group
 	cfg.FailsTogether = func(a, b group.Server) float64 { return l.model.Weight(l.now, a, b) }
+	cfg.Primaries = func(server group.Server) int { return l.primaries(id.Service, server) }
 	g := &managed{id: id, machine: failover.New(cfg, id, list, state.Group(id))}
 	l.groups[id] = g
 	l.perform(g, g.machine.Start(l.now))
 }
 
+// primaries counts the groups of a service that a server is the primary of; the lock is held.
+func (l *leadership) primaries(service group.Service, server group.Server) int {
+	n := 0
+	for slot := range l.slots[service] {
+		g := l.groups[group.ID{Service: service, Slot: group.Slot(slot)}]
+		if g != nil && g.machine.Configuration().Primary == server {
+			n++
+		}
+	}
+	return n
+}
+
 // step gives a machine one event and does what follows; the lock is held.
 func (l *leadership) step(g *managed, event failover.Event) {
 	l.perform(g, g.machine.Step(l.now, event))
--- a/control/internal/failover/scale_test.go
+++ b/control/internal/failover/scale_test.go
@@ -29,7 +29,9 @@
 		b.Run(fmt.Sprint(databases), func(b *testing.B) {
 			r, announcements := startLeader(b, databases)
 			for i := range announcements {
-				r.Announce(time.Now(), announcements[i])
+				if _, err := r.Announce(time.Now(), announcements[i]); err != nil {
+					b.Fatal(err)
+				}
 			}
 			b.ReportAllocs()
 			for n := 0; b.Loop(); n++ {
--- a/control/internal/failover/service_test.go
+++ b/control/internal/failover/service_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"lentilwind.dev/bench/database"
 	"lentilwind.dev/lentilwind/catalog"
 	"lentilwind.dev/lentilwind/group"
 	"lentilwind.dev/lentilwind/inventory"
@@ -116,6 +117,13 @@
 	c.checkNothingLost(t)
 }
 
+func TestPrimaryThatReachesNoReplicaIsReplaced(t *testing.T) {
+	f, c, to := calm(t, 1)
+	f.nodes[to.Primary].server.SetFaults(func(faults *database.Faults) { faults.PauseReplication = true })
+	c.awaitGap(t, to.Term)
+	c.checkNothingLost(t)
+}
+
 func TestLeavingPrimaryHandsOver(t *testing.T) {
 	f, c, to := calm(t, 1)
 	f.nodes[to.Primary].server.Leave()
--- /dev/null
+++ b/lentilwind/affinity/example_test.go
@@ -0,0 +1,21 @@
+package affinity_test
+
+import (
+	"fmt"
+	"time"
+
+	"lentilwind.dev/lentilwind/affinity"
+	"lentilwind.dev/lentilwind/group"
+)
+
+// A model learns from failures which server is the better successor.
+func ExampleModel_Order() {
+	now := time.Unix(0, 0)
+	m := affinity.New(affinity.DefaultConfig())
+	m.Learn(now, []group.Server{"a", "b"})
+	m.Learn(now, []group.Server{"c"})
+	successors := []group.Server{"b", "c"}
+	m.Order(now, successors, []group.Server{"a"})
+	fmt.Println(successors, m.FailsWith(now, "a"))
+	// Output: [c b] [b]
+}
--- a/lentilwind/failover/config.go
+++ b/lentilwind/failover/config.go
@@ -24,14 +24,18 @@
 	BackoffMax time.Duration
 	// StableAfter is how long a primary must serve before the back-off starts anew.
 	StableAfter time.Duration
-	// StaleAfter is the age at which a replica is told again whom to follow.
-	StaleAfter time.Duration
+	// StarvedAfter is the time without news from its primary after which a replica is told again whom to follow.
+	StarvedAfter time.Duration
+	// IsolatedAfter is the time after which a primary is replaced whose records reach no majority, though it answers.
+	IsolatedAfter time.Duration
 	// DrainLimit bounds the time that running transactions get in a planned handover.
 	DrainLimit time.Duration
 	// CatchUpLimit bounds the wait for the target of a handover.
 	CatchUpLimit time.Duration
 	// FailsTogether gives the learned weight of common failure of two servers; nil knows nothing.
 	FailsTogether func(a, b group.Server) float64
+	// Primaries gives the number of groups that a server is the primary of; nil knows nothing.
+	Primaries func(server group.Server) int
 }
 
 // DefaultConfig returns the times for groups whose servers announce themselves every second.
@@ -46,7 +50,8 @@
 		BackoffMin:    500 * time.Millisecond,
 		BackoffMax:    8 * time.Second,
 		StableAfter:   time.Minute,
-		StaleAfter:    3 * time.Second,
+		StarvedAfter:  3 * time.Second,
+		IsolatedAfter: 6 * time.Second,
 		DrainLimit:    2 * time.Second,
 		CatchUpLimit:  2 * time.Second,
 	}
--- a/lentilwind/failover/machine.go
+++ b/lentilwind/failover/machine.go
@@ -54,6 +54,8 @@
 
 	// previous is the primary that the current term replaces.
 	previous group.Server
+	// shunned is the previous primary if its records reached no majority; it is chosen only if a majority needs it.
+	shunned  group.Server
 	handover handover
 	backoff  backoff
 
@@ -123,6 +125,7 @@
 // resume enters the phase that belongs to the journalled configuration.
 func (m *Machine) resume(now time.Time) {
 	m.handover = handover{}
+	m.shunned = ""
 	m.chosen = group.Status{}
 	m.forgetFences(now)
 	if m.config.Term == 0 {
--- a/lentilwind/failover/machine_test.go
+++ b/lentilwind/failover/machine_test.go
@@ -178,6 +178,28 @@
 	}
 }
 
+func TestPrimaryThatReachesNoMajorityIsReplaced(t *testing.T) {
+	primary := announced("a", status(group.RolePrimary, 4, 4, 20))
+	silentFor := func(s *script, slowOnly bool) []failover.Event {
+		b, c := status(group.RoleReplica, 4, 4, 10), status(group.RoleReplica, 4, 4, 10)
+		b.Age, c.Age = s.now.Sub(start), s.now.Sub(start)
+		if slowOnly {
+			b.Received = group.Position(10 + s.now.Sub(start)/time.Second)
+		}
+		return []failover.Event{primary, announced("b", b), announced("c", c)}
+	}
+	for _, slowOnly := range []bool{true, false} {
+		s := serving(4, 10)
+		s.out = nil
+		for s.now.Sub(start) < 8*time.Second {
+			s.pass(500*time.Millisecond, silentFor(s, slowOnly)...)
+		}
+		if replaced := len(take[failover.Journal](s)) > 0; replaced == slowOnly {
+			t.Errorf("replicas only slow: %t, replaced: %t", slowOnly, replaced)
+		}
+	}
+}
+
 func TestMemberThatLostItsLogDoesNotDecide(t *testing.T) {
 	s := newScript(group.Configuration{Term: 7}, "a", "b", "c")
 	s.do(announced("b", status(group.RoleReplica, 0, 0, 0)), announced("c", status(group.RoleReplica, 6, 6, 3)))
--- a/lentilwind/failover/member.go
+++ b/lentilwind/failover/member.go
@@ -18,6 +18,8 @@
 	heard  time.Time
 	known  bool
 	status group.Status
+	// moved is the time of the last change of the received position.
+	moved time.Time
 	// contradictions counts announcements in a row that can't come from the journalled primary.
 	contradictions int
 	// demoted is set when the journalled primary is fenced at its term without having the role.
@@ -54,10 +56,18 @@
 	if mb.known && (status.Fenced < mb.status.Fenced || status.Term < mb.status.Term) {
 		return false
 	}
+	if !mb.known || mb.status.Received != status.Received {
+		mb.moved = now
+	}
 	mb.known = true
 	mb.status = status
 	return true
 }
 
+// starved tells whether the member has heard nothing from its primary for a while; one that only applies slowly is not starved.
+func (mb *member) starved(now time.Time, after time.Duration) bool {
+	return mb.status.Age >= after && now.Sub(mb.moved) >= after
+}
+
 // blank tells whether the status is of a member that holds no log.
 func blank(status group.Status) bool { return status.Term == 0 }
--- a/lentilwind/failover/policy.go
+++ b/lentilwind/failover/policy.go
@@ -55,7 +55,13 @@
 }
 
 // choose returns the member with the greatest log; among equals, the one least likely to fail soon.
+//
+// Any majority will do, so a member that can't replicate is left out if the others are one.
 func (m *Machine) choose(counted []*member) *member {
+	others := slices.DeleteFunc(slices.Clone(counted), func(mb *member) bool { return mb.Server == m.shunned })
+	if len(others) >= m.rules.quorum(len(m.members)) {
+		counted = others
+	}
 	return slices.MaxFunc(counted, func(a, b *member) int {
 		return cmp.Or(m.rules.compare(a.fenceAnswer, b.fenceAnswer), m.prefer(a, b))
 	})
@@ -69,6 +75,7 @@
 		compareBool(a.Server == m.handover.target, b.Server == m.handover.target),
 		-cmp.Compare(m.failsWithFailed(a), m.failsWithFailed(b)),
 		-compareBool(m.besidePrevious(a), m.besidePrevious(b)),
+		-cmp.Compare(m.load(a), m.load(b)),
 		-cmp.Compare(m.failsWithOthers(a), m.failsWithOthers(b)),
 		-cmp.Compare(a.Server, b.Server),
 	)
@@ -107,6 +114,14 @@
 	return sum
 }
 
+// load returns the number of groups that the member is the primary of already.
+func (m *Machine) load(candidate *member) int {
+	if m.cfg.Primaries == nil {
+		return 0
+	}
+	return m.cfg.Primaries(candidate.Server)
+}
+
 // besidePrevious tells whether the member stands in the data centre of the primary that is being replaced.
 func (m *Machine) besidePrevious(candidate *member) bool {
 	previous := m.member(m.previous)
--- a/lentilwind/failover/promote.go
+++ b/lentilwind/failover/promote.go
@@ -25,6 +25,7 @@
 	primary.contradictions = 0
 	primary.demoted = false
 	m.handover = handover{}
+	m.shunned = ""
 	m.settledAt = now
 	m.refusedAt = time.Time{}
 	m.note(NotePrimaryPromoted, primary.Server, primary.status.String())
--- a/lentilwind/failover/settle.go
+++ b/lentilwind/failover/settle.go
@@ -23,9 +23,14 @@
 	}
 	primary := m.member(m.config.Primary)
 	switch {
-	case primary == nil, primary.failed, primary.contradictions >= contradictionLimit:
+	case primary == nil, primary.failed, primary.contradictions >= contradictionLimit,
+		m.highestTerm() > m.config.Term:
 		m.handover = handover{}
 		m.begin(now)
+	case m.isolated(now, primary):
+		m.handover = handover{}
+		m.shunned = primary.Server
+		m.begin(now)
 	case primary.demoted:
 		m.chosen = group.Status{}
 		m.promoteRefused = false
@@ -38,6 +43,19 @@
 	}
 }
 
+// isolated tells whether a primary that answers can't get its records to a majority.
+func (m *Machine) isolated(now time.Time, primary *member) bool {
+	missing := 0
+	for _, mb := range m.members {
+		cutOff := mb.reachable(now, m.cfg.HeardWithin) && mb.status.Term == m.config.Term &&
+			mb.status.Received < primary.status.Received && mb.starved(now, m.cfg.IsolatedAfter)
+		if mb != primary && cutOff {
+			missing++
+		}
+	}
+	return missing > len(m.members)-m.rules.quorum(len(m.members))
+}
+
 // bootstrap begins the first term once all members are there, or a majority for a while.
 //
 // A primary that exists already has the greatest log and so stays primary, in a new term.
@@ -96,7 +114,7 @@
 	moved := told.term == m.config.Term && told.address != primary.address
 	restarted := told.incarnation != 0 && told.incarnation != mb.incarnation
 	behind := mb.status.Term < m.config.Term || mb.status.Role == group.RolePrimary
-	return moved || restarted || behind || mb.status.Age >= m.cfg.StaleAfter
+	return moved || restarted || behind || mb.starved(now, m.cfg.StarvedAfter)
 }
 
 func (m *Machine) tellToFollow(now time.Time, mb, primary *member) {
--- a/lentilwind/failover/world_test.go
+++ b/lentilwind/failover/world_test.go
@@ -29,12 +29,16 @@
 	incarnation protocol.Incarnation
 	up, cut     bool
 	leaving     bool
+	clock       *time.Time
+	// fresh is the time of the last news from a primary.
+	fresh time.Time
 }
 
 func (d *database) status() group.Status {
 	s := group.Status{Role: group.RoleReplica, Term: d.term, Fenced: d.fenced, Received: group.Position(len(d.log))}
+	s.Age = d.clock.Sub(d.fresh)
 	if d.rules(d.ruling) {
-		s.Role = group.RolePrimary
+		s.Role, s.Age = group.RolePrimary, 0
 	}
 	return s
 }
@@ -65,6 +69,7 @@
 	if !d.up || d.cut || d.target != term || d.source != source || d.fenced > term {
 		return
 	}
+	d.fresh = *d.clock
 	common := 0
 	for common < min(len(log), len(d.log)) && log[common] == d.log[common] {
 		common++
@@ -110,7 +115,7 @@
 func newWorld(seed uint64, fault func(*failover.Machine)) *world {
 	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), primaries: map[group.Term]group.Server{}, fault: fault}
 	for i := range 3 + 2*w.rng.IntN(2) {
-		w.databases = append(w.databases, &database{name: group.Server(fmt.Sprintf("db-%d", i)), incarnation: 1, up: true})
+		w.databases = append(w.databases, &database{name: group.Server(fmt.Sprintf("db-%d", i)), incarnation: 1, up: true, clock: &w.now, fresh: w.now})
 	}
 	w.elect()
 	return w
--- a/lentilwind/protocol/renew.go
+++ b/lentilwind/protocol/renew.go
@@ -71,7 +71,8 @@
 // Topology is the part of the configuration that control learns rather than the operators write.
 type Topology struct {
 	Version TopologyVersion `cbor:"1,keyasint"`
-	// Full means that what is not listed does not exist; otherwise only changes are listed.
+	// Full means that what is not listed does not exist. Otherwise the receiver keeps what is not listed, also when the version
+	// is of a newer leader than its own: a new leader tells at once what it knows, and all there is once it has heard all.
 	Full    bool                  `cbor:"2,keyasint"`
 	Groups  []group.Configuration `cbor:"3,keyasint,omitempty"`
 	Servers []ServerState         `cbor:"4,keyasint,omitempty"`
--- a/lentilwind/roster/roster.go
+++ b/lentilwind/roster/roster.go
@@ -15,6 +15,8 @@
 	ServerSilentAfter time.Duration
 	// EntrySilentAfter is the time after which an entry that does not report gets no new work.
 	EntrySilentAfter time.Duration
+	// SettleAfter is the time in which a new leader hears of every live process: two periods of announcements and renewals.
+	SettleAfter time.Duration
 	// ForgetAfter is the time after which a silent server is taken back with any incarnation.
 	ForgetAfter time.Duration
 	// StopGrace is the time that entries need to stop using a server: at least the configuration lease.
@@ -30,6 +32,7 @@
 	return Config{
 		ServerSilentAfter: 3 * time.Second,
 		EntrySilentAfter:  4 * time.Second,
+		SettleAfter:       2500 * time.Millisecond,
 		ForgetAfter:       time.Minute,
 		StopGrace:         6 * time.Second,
 		MaxUnknown:        64,
--- a/lentilwind/roster/tick.go
+++ b/lentilwind/roster/tick.go
@@ -43,8 +43,7 @@
 
 // settle makes topologies full once silence since the start tells something.
 func (r *Roster) settle(now time.Time) {
-	patience := max(r.cfg.ServerSilentAfter, r.cfg.EntrySilentAfter)
-	if r.settled || now.Sub(r.started) <= patience {
+	if r.settled || now.Sub(r.started) < r.cfg.SettleAfter {
 		return
 	}
 	r.settled = true
