Control under faults, with real processes behind a relay

Cause: the promises of control under faults were shown on the pure machines only. Change: the tests start this test program as control processes and kill, pause, cut off, empty, damage and restore them.

--- a/control/internal/command/fleet_test.go
+++ b/control/internal/command/fleet_test.go
@@ -10,10 +10,14 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"os/exec"
 	"path/filepath"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	"lentilwind.dev/bench/relay"
 	"lentilwind.dev/control/internal/command"
 	"lentilwind.dev/control/internal/settings"
 	"lentilwind.dev/instance/identity"
@@ -36,18 +40,28 @@
 	block     int
 	members   []settings.Member
 	running   map[int]*running
+	network   *relay.Network
+	relays    []*relay.UDP
 	http      *http.Client
 }
 
-// running is one control process that runs within the test.
+// running is one control process: this test program, started again.
 type running struct {
-	stop context.CancelFunc
-	done chan error
+	process *os.Process
+	done    chan error
 }
 
-var blocks = make(chan int, 1)
+// programEnv holds the settings file of a control process that the test program is to run.
+const programEnv = "LENTIL_CONTROL_SETTINGS"
 
-func init() { blocks <- 0 }
+func TestMain(m *testing.M) {
+	if path := os.Getenv(programEnv); path != "" {
+		os.Exit(command.Execute([]string{"run", "--settings", path}, os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+var blocks atomic.Int64
 
 func newFleet(t *testing.T, members int) *fleet {
 	t.Helper()
@@ -59,11 +73,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	block := <-blocks
-	blocks <- block + 1
-	f := &fleet{t: t, dir: t.TempDir(), root: root, authority: authority, block: block, running: map[int]*running{}}
+	f := &fleet{
+		t: t, dir: t.TempDir(), root: root, authority: authority, block: int(blocks.Add(1)), running: map[int]*running{},
+		network: relay.NewNetwork(func(address netip.Addr) relay.Zone { return relay.Zone(address.String()) }),
+	}
 	for i := 1; i <= members; i++ {
-		f.members = append(f.members, settings.Member{Name: f.name(i), Address: f.address(i, 7101)})
+		f.members = append(f.members, settings.Member{Name: f.name(i), Address: f.relayTo(i)})
 	}
 	operator, err := identity.Load(f.issue("operator", identity.RoleOperator))
 	if err != nil {
@@ -74,10 +89,35 @@
 		for i := range f.running {
 			f.stop(i)
 		}
+		for _, r := range f.relays {
+			_ = r.Close()
+		}
 	})
 	return f
 }
 
+// relayTo puts a relay before a process, at the address that the other members dial.
+func (f *fleet) relayTo(i int) string {
+	f.t.Helper()
+	public := netip.MustParseAddrPort(f.address(i, 7102))
+	r, err := relay.ListenUDP(f.network, public, netip.MustParseAddrPort(f.address(i, 7101)))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.relays = append(f.relays, r)
+	return public.String()
+}
+
+// isolate cuts a process off from all others.
+func (f *fleet) isolate(i int) {
+	zone := func(i int) relay.Zone { return relay.Zone(netip.MustParseAddrPort(f.address(i, 7101)).Addr().String()) }
+	for j := 1; j <= len(f.relays); j++ {
+		if j != i {
+			f.network.Set(zone(i), zone(j), relay.Fault{Cut: true})
+		}
+	}
+}
+
 func (f *fleet) name(i int) inventory.InstanceName {
 	return inventory.InstanceName(fmt.Sprintf("control-%d", i))
 }
@@ -110,6 +150,7 @@
 func (f *fleet) settings(i int) *settings.Settings {
 	s := &settings.Settings{
 		Name: f.name(i), DataCentre: "raquira", Members: f.members, LogLevel: "error",
+		Advertise:  settings.Advertise{Peers: f.address(i, 7102)},
 		Listen:     settings.Listen{Peers: f.address(i, 7101), Operators: f.address(i, 7201), HTTP: f.address(i, 7301)},
 		DataFolder: filepath.Join(f.dir, string(f.name(i))), EventsFile: filepath.Join(f.dir, string(f.name(i))+".events"),
 		Identity: f.issue(string(f.name(i)), identity.RoleControl),
@@ -117,33 +158,76 @@
 	if i > len(f.members) {
 		s.Members = nil
 	}
+	for len(f.relays) < i {
+		f.relayTo(len(f.relays) + 1)
+	}
 	return s
 }
 
 func (f *fleet) start(hosts ...int) {
 	f.t.Helper()
 	for _, i := range hosts {
-		ctx, cancel := context.WithCancel(context.Background())
-		r := &running{stop: cancel, done: make(chan error, 1)}
-		s := f.settings(i)
-		go func() { r.done <- command.Run(ctx, s) }()
+		data, err := json.Marshal(f.settings(i))
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		path := filepath.Join(f.dir, string(f.name(i))+".jsonc")
+		if err := os.WriteFile(path, data, 0o600); err != nil {
+			f.t.Fatal(err)
+		}
+		cmd := exec.Command(os.Args[0])
+		cmd.Env = append(os.Environ(), programEnv+"="+path)
+		cmd.Stderr = os.Stderr
+		if err := cmd.Start(); err != nil {
+			f.t.Fatal(err)
+		}
+		r := &running{process: cmd.Process, done: make(chan error, 1)}
+		go func() { r.done <- cmd.Wait() }()
 		f.running[i] = r
 	}
 }
 
+func (f *fleet) signal(i int, signal os.Signal) {
+	f.t.Helper()
+	if err := f.running[i].process.Signal(signal); err != nil {
+		f.t.Errorf("%s: %v", f.name(i), err)
+	}
+}
+
+// stop ends a process gracefully, kill at once.
 func (f *fleet) stop(i int) {
+	f.t.Helper()
+	if err := f.end(i, syscall.SIGTERM); err != nil {
+		f.t.Errorf("%s: %v", f.name(i), err)
+	}
+}
+
+func (f *fleet) kill(i int) {
+	f.t.Helper()
+	_ = f.end(i, syscall.SIGKILL)
+}
+
+func (f *fleet) end(i int, signal os.Signal) error {
 	f.t.Helper()
 	r := f.running[i]
 	delete(f.running, i)
-	r.stop()
+	_ = r.process.Signal(signal)
 	select {
 	case err := <-r.done:
-		if err != nil {
-			f.t.Errorf("%s: %v", f.name(i), err)
-		}
+		return err
 	case <-time.After(awaitLimit):
-		f.t.Errorf("%s does not stop", f.name(i))
+		return errors.Join(errors.New("it does not stop"), r.process.Kill())
+	}
+}
+
+// leader returns the process that leads now.
+func (f *fleet) leader() int {
+	f.t.Helper()
+	i, err := f.lead(http.MethodGet, "/v1/status", nil, &protocol.FleetStatus{})
+	if err != nil {
+		f.t.Fatal(err)
 	}
+	return i
 }
 
 // call sends one operator's request to a process; a refusal comes back as a *protocol.OperatorError.
--- a/control/internal/command/run.go
+++ b/control/internal/command/run.go
@@ -1,7 +1,6 @@
 package command
 
 import (
-	"context"
 	"os"
 	"os/signal"
 	"syscall"
@@ -23,12 +22,3 @@
 		return p.run(ctx)
 	})
 }
-
-// Run runs a control process with the given settings until the context ends.
-func Run(ctx context.Context, s *settings.Settings) error {
-	p, err := newProcess(s, os.Stderr)
-	if err != nil {
-		return err
-	}
-	return p.run(ctx)
-}
