--- a/entry/internal/directory/snapshot.go
+++ b/entry/internal/directory/snapshot.go
@@ -101,6 +101,9 @@
 	return s.entries[i], true
 }
 
+// Region returns the region of a data centre; empty for one that the inventory does not list.
+func (s *Snapshot) Region(dc inventory.DataCentre) inventory.RegionName { return s.regions[dc] }
+
 // Distance returns how far two data centres stand from each other.
 func (s *Snapshot) Distance(a, b inventory.DataCentre) route.Distance {
 	if a == b {
--- a/lentilwind/protocol/frame.go
+++ b/lentilwind/protocol/frame.go
@@ -33,6 +33,8 @@
 	KindRenew Kind = "renew"
 	// KindDraw asks the control leader for requests out of workspaces' quotas.
 	KindDraw Kind = "draw"
+	// KindBudget asks the control leader for connections to databases.
+	KindBudget Kind = "budget"
 	// KindAnnounce passes a backend server's announcement on to the control leader.
 	KindAnnounce Kind = "announce"
 	// KindObserve asks a pool home for the status of one of its databases.
