Leased connection budgets beside the shares of the inventory

Cause: shares divided by the inventory do not follow the demand. Change: the setting budgets chooses between both; leased budgets lower a pool's limit, close what may no longer be held and are given back at the end of a stop. The inventory's shares stay the default.

--- a/entry/internal/command/entry.go
+++ b/entry/internal/command/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -18,6 +17,7 @@
 	"lentilwind.dev/entry/internal/caller"
 	"lentilwind.dev/entry/internal/directory"
 	"lentilwind.dev/entry/internal/executor"
+	"lentilwind.dev/entry/internal/homes"
 	"lentilwind.dev/entry/internal/membership"
 	"lentilwind.dev/entry/internal/pool"
 	"lentilwind.dev/entry/internal/positions"
@@ -50,11 +50,13 @@
 
 	endpoint   *link.Endpoint
 	directory  *directory.Directory
+	leader     *membership.Leader
 	membership *membership.Membership
 	keeper     *positions.Keeper
 	quota      *quota.Quota
 	pools      *pool.Set
 	placement  *executor.Placement
+	homes      *homes.Homes
 	home       *executor.Home
 	server     *caller.Server
 
@@ -102,6 +104,7 @@
 		control = append(control, netip.MustParseAddrPort(address))
 	}
 	leader := membership.NewLeader(endpoint, control)
+	e.leader = leader
 	e.keeper = positions.New(positions.Config{Directory: e.directory, DataCentre: s.DataCentre, Log: e.log})
 	e.membership = membership.New(membership.Config{
 		Name: s.Name, Incarnation: e.incarnation, DataCentre: s.DataCentre, Address: e.advertised(), Endpoint: endpoint,
@@ -134,10 +137,10 @@
 	}
 	local := executor.NewLocal(e.pools)
 	e.home = executor.NewHome(local)
-	e.placement = executor.NewPlacement(s.Name)
+	router := executor.NewRouter(local, executor.NewRemote(e.endpoint), e.newHomes())
 	e.endpoint.HandleStream(protocol.KindTransaction, e.home.ServeStream)
 	e.server = caller.NewServer(caller.Config{
-		Directory: e.directory, Positions: e.keeper, Executor: executor.NewRouter(local, executor.NewRemote(e.endpoint), e.placement), Quota: e.quota, Signer: signer,
+		Directory: e.directory, Positions: e.keeper, Executor: router, Quota: e.quota, Signer: signer,
 		TLS: e.identity.ServerOnly(), PlainText: s.Prefixes(), Limits: callerLimits(&s.Limits), Events: e.events, Log: e.log,
 	}, listener)
 	e.timers.Every(trimPeriod, e.pools.Trim)
@@ -183,38 +186,3 @@
 	slices.SortFunc(running, group.ID.Compare)
 	return slices.Compact(running)
 }
-
-// warmConnections is the number of connections to a server that are opened ahead of need.
-const warmConnections = 2
-
-// warm opens connections to each server whose pool has fewer.
-func (e *entry) warm(ctx context.Context) {
-	e.pools.Each(func(_ group.Server, p *pool.Pool) {
-		if p.Usage().Open < warmConnections {
-			go p.Warm(ctx, warmConnections)
-		}
-	})
-}
-
-// followDirectory keeps the pools at the servers and limits of the newest snapshot.
-func (e *entry) followDirectory(ctx context.Context) error {
-	subscription := e.directory.Subscribe()
-	defer subscription.Close()
-	shares := executor.NewShares()
-	for {
-		targets := e.placement.Follow(e.directory.Snapshot())
-		again := shares.Apply(targets, time.Now())
-		e.pools.Configure(targets)
-		e.warm(ctx)
-		var grown <-chan time.Time
-		if again > 0 {
-			grown = time.After(again)
-		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-subscription.Changed:
-		case <-grown:
-		}
-	}
-}
--- a/entry/internal/command/run.go
+++ b/entry/internal/command/run.go
@@ -53,7 +53,7 @@
 	g.Go(func() error { return e.keeper.Run(ctx) })
 	g.Go(func() error { return e.quota.Run(ctx) })
 	g.Go(func() error { return e.timers.Run(ctx) })
-	g.Go(func() error { return e.followDirectory(ctx) })
+	g.Go(func() error { return e.followBudgets(ctx) })
 	g.Go(func() error { return e.server.Serve(ctx) })
 	g.Go(func() error {
 		return health.Serve(ctx, e.http, health.Config{
@@ -94,6 +94,10 @@
 	for e.home.Running() > 0 && ctx.Err() == nil {
 		pause(ctx, drainPeriod)
 	}
+	if e.homes != nil {
+		e.pools.Configure(nil)
+		e.homes.Release(ctx)
+	}
 }
 
 const drainPeriod = 20 * time.Millisecond
--- a/entry/internal/command/run_test.go
+++ b/entry/internal/command/run_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -19,12 +20,14 @@
 	"lentilwind.dev/bench/database"
 	"lentilwind.dev/entry/internal/command"
 	"lentilwind.dev/entry/internal/directory"
+	"lentilwind.dev/entry/internal/settings"
 	"lentilwind.dev/instance/identity"
 	"lentilwind.dev/instance/link"
 	"lentilwind.dev/instance/logs"
 	"lentilwind.dev/lentilwind/group"
 	"lentilwind.dev/lentilwind/hlc"
 	"lentilwind.dev/lentilwind/inventory"
+	"lentilwind.dev/lentilwind/placement"
 	"lentilwind.dev/lentilwind/protocol"
 )
 
@@ -38,6 +41,23 @@
 	endpoint *link.Endpoint
 	delta    inventory.Delta
 	topology protocol.Topology
+
+	mu      sync.Mutex
+	budgets *placement.Leader
+}
+
+func (c *control) budget(_ context.Context, _ identity.Peer, frame protocol.Frame) (any, error) {
+	var request placement.Request
+	if err := protocol.Decode(frame.Body, &request); err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	reply, fresh := c.budgets.Handle(time.Now(), &request)
+	if !fresh {
+		return nil, &protocol.Refusal{Code: protocol.CodeInvalid, Message: "an old request"}
+	}
+	return reply, nil
 }
 
 func (c *control) renew(ctx context.Context, _ identity.Peer, frame protocol.Frame) (any, error) {
@@ -116,6 +136,7 @@
 		Workspaces: []inventory.Workspace{{Name: "florists", Rate: 100, Burst: 100, Weight: 1, Keys: []inventory.Key{{ID: "a", Hash: fmt.Sprintf("sha256:%x", hash)}}}},
 	}
 	c.topology = protocol.Topology{Version: protocol.TopologyVersion{LeaderTerm: 1, Count: 1}, Full: true}
+	c.topology.Entries = []protocol.EntryState{{Name: "entry-1", DataCentre: "raquira", Address: "127.0.0.1:1", Health: protocol.HealthLive}}
 	for i, db := range databases {
 		name := group.Server(fmt.Sprintf("db-%d", i))
 		inv.Services[0].Databases = append(inv.Services[0].Databases, inventory.Database{Name: name, DataCentre: "raquira"})
@@ -129,6 +150,16 @@
 	c.delta = inventory.Diff(0, nil, 1, &inv)
 	c.endpoint.Handle(protocol.KindRenew, c.renew)
 	c.endpoint.Handle(protocol.KindDraw, draw)
+	c.endpoint.Handle(protocol.KindBudget, c.budget)
+	c.budgets = placement.NewLeader(placement.DefaultSettings(), time.Now(), true)
+	c.budgets.SetEntries([]placement.Entry{{Name: "entry-1", DataCentre: "raquira", Region: "andina"}})
+	var placed []placement.Database
+	for _, db := range inv.Services[0].Databases {
+		placed = append(placed, placement.Database{
+			ID: group.ServerID{Service: "inventario-1", Server: db.Name}, DataCentre: "raquira", Region: "andina", Connections: 20,
+		})
+	}
+	c.budgets.SetDatabases(placed)
 	serve(t, c.endpoint)
 	return c
 }
@@ -175,6 +206,13 @@
 }
 
 func TestRunServesCallersAndStopsWithoutCuttingOffATransaction(t *testing.T) {
+	for _, budgets := range []settings.Budgets{settings.BudgetsInventory, settings.BudgetsLeased} {
+		t.Run(string(budgets), func(t *testing.T) { testRun(t, budgets) })
+	}
+}
+
+func testRun(t *testing.T, budgets settings.Budgets) {
+	t.Helper()
 	databases, err := database.StartService(database.Config{Service: "inventario-1", DataCentre: "raquira", Watch: []string{key}}, "db-0", "db-1", "db-2")
 	if err != nil {
 		t.Fatal(err)
@@ -191,7 +229,7 @@
 		"name": "entry-1", "dataCentre": "raquira", "control": []string{c.endpoint.Address().String()},
 		"listen":   map[string]string{"callers": callers, "peers": "127.0.0.1:0", "http": web},
 		"identity": issue(t, authority, dir, "entry-1", identity.RoleEntry), "sessionSecretFile": "secret",
-		"eventsFile": "events.jsonl", "stop": map[string]string{"unreadyFor": "100ms", "deadline": "10s"},
+		"budgets": budgets, "eventsFile": "events.jsonl", "stop": map[string]string{"unreadyFor": "100ms", "deadline": "10s"},
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/entry/internal/pool/pool.go
+++ b/entry/internal/pool/pool.go
@@ -43,6 +43,8 @@
 	open    int
 	closed  bool
 	idle    []*Conn
+	// active is the connections with a transaction.
+	active map[*Conn]struct{}
 	// writes counts the running write transactions.
 	writes  map[writeKey]int
 	waiting waiters
@@ -54,7 +56,7 @@
 
 // NewPool returns an empty pool of at most limit connections.
 func NewPool(service group.Service, server group.Server, address netip.AddrPort, limit int) *Pool {
-	return &Pool{service: service, server: server, address: address, limit: limit, answered: time.Now(), waiting: newWaiters(), writes: make(map[writeKey]int)}
+	return &Pool{service: service, server: server, address: address, limit: limit, answered: time.Now(), waiting: newWaiters(), writes: make(map[writeKey]int), active: make(map[*Conn]struct{})}
 }
 
 // Acquire returns a connection that nobody else uses, opened if need be.
@@ -82,19 +84,21 @@
 	term group.Term
 }
 
-// begin counts a write transaction until its connection is released.
+// begin counts a transaction until its connection is released.
 func (p *Pool) begin(conn *Conn, scope Scope) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.active[conn] = struct{}{}
 	if scope.Access != inventory.AccessWrite {
 		return
 	}
 	conn.writing = writeKey{slot: scope.Slot, term: scope.Term}
-	p.mu.Lock()
 	p.writes[conn.writing]++
-	p.mu.Unlock()
 }
 
-// end takes a write transaction out of the count; p.mu is held.
+// end takes a transaction out of the count; p.mu is held.
 func (p *Pool) end(conn *Conn) {
+	delete(p.active, conn)
 	if conn == nil || conn.writing == (writeKey{}) {
 		return
 	}
@@ -327,6 +331,30 @@
 	}
 }
 
+// Hold closes connections above a limit that may not be passed, those with a transaction last.
+func (p *Pool) Hold(limit int) {
+	p.mu.Lock()
+	var surplus []*Conn
+	for len(p.idle) > 0 && p.open > limit {
+		surplus = append(surplus, p.idle[0])
+		p.idle = p.idle[1:]
+		p.open--
+	}
+	excess := p.open - limit
+	for conn := range p.active {
+		if excess <= 0 {
+			break
+		}
+		// The transaction gives the connection back once it finds it closed.
+		surplus = append(surplus, conn)
+		excess--
+	}
+	p.mu.Unlock()
+	for _, conn := range surplus {
+		_ = conn.Close()
+	}
+}
+
 // grantRoom lets waiting transactions open connections while there is room.
 func (p *Pool) grantRoom() []*waiter {
 	var granted []*waiter
--- a/entry/internal/pool/pool_test.go
+++ b/entry/internal/pool/pool_test.go
@@ -151,3 +151,22 @@
 		t.Error("an ended write is told")
 	}
 }
+
+func TestHoldClosesWhatIsAboveIt(t *testing.T) {
+	p, server := newPool(t, 3)
+	running := []*pool.Conn{acquire(t, p, want("florists", patience)), acquire(t, p, want("florists", patience))}
+	p.Release(acquire(t, p, want("florists", patience)), true)
+	p.Hold(2)
+	if usage := p.Usage(); usage.Open != 2 || usage.Idle != 0 {
+		t.Errorf("idle connections go first: %+v", usage)
+	}
+	p.Hold(1)
+	for end := time.Now().Add(patience); server.Connections() > 1; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d connections stay open", server.Connections())
+		}
+	}
+	for _, conn := range running {
+		p.Release(conn, false)
+	}
+}
--- a/entry/internal/settings/settings.go
+++ b/entry/internal/settings/settings.go
@@ -28,6 +28,8 @@
 	PlainTextNetworks []string `json:"plainTextNetworks"`
 	Limits            Limits   `json:"limits"`
 	Stop              Stop     `json:"stop"`
+	// Budgets tells where the entry's share of the connections to a database comes from.
+	Budgets Budgets `json:"budgets"`
 	// EventsFile gets the time line; empty writes none.
 	EventsFile string `json:"eventsFile"`
 	LogLevel   string `json:"logLevel"`
@@ -55,6 +57,17 @@
 	StartupTimeout    jsonc.Duration `json:"startupTimeout"`
 }
 
+// Budgets is a source of shares of connections.
+type Budgets string
+
+// The sources of shares.
+const (
+	// BudgetsInventory divides the connections by the entry instances of the inventory.
+	BudgetsInventory Budgets = "inventory"
+	// BudgetsLeased takes the shares that control leases by demand.
+	BudgetsLeased Budgets = "leased"
+)
+
 // Stop is the steps of a graceful stop.
 type Stop struct {
 	// UnreadyFor is the time between the first failing /readyz and the closing of idle callers.
@@ -105,6 +118,7 @@
 	setDefault(&l.StartupTimeout, jsonc.Duration(DefaultStartupTimeout))
 	setDefault(&s.Stop.UnreadyFor, jsonc.Duration(DefaultUnreadyFor))
 	setDefault(&s.Stop.Deadline, jsonc.Duration(DefaultDeadline))
+	setDefault(&s.Budgets, BudgetsInventory)
 	setDefault(&s.LogLevel, DefaultLogLevel)
 }
 
@@ -156,6 +170,11 @@
 
 func (s *Settings) checkLimits() []jsonc.Problem {
 	var problems []jsonc.Problem
+	if s.Budgets != BudgetsInventory && s.Budgets != BudgetsLeased {
+		problems = append(problems, jsonc.Problem{
+			Pointer: "/budgets", Message: fmt.Sprintf("%q is no source of budgets", s.Budgets), Remedy: `write "inventory" or "leased"`,
+		})
+	}
 	for _, limit := range []struct {
 		pointer string
 		value   int64
