--- a/bench/internal/experiment/scenario.go
+++ b/bench/internal/experiment/scenario.go
@@ -60,7 +60,7 @@
 func workspaces(f *fleet.Fleet, length time.Duration) []load.Workspace {
 	var list []load.Workspace
 	for i, w := range f.Layout.Workspaces {
-		if w.Name == probeWorkspace {
+		if w.Name == probeWorkspace || w.Name == inventory.PublicWorkspace && !hasOpenRoute(f.Layout) {
 			continue
 		}
 		offered := load.Workspace{
@@ -76,6 +76,11 @@
 	return list
 }
 
+// hasOpenRoute tells whether callers without a key may use any route.
+func hasOpenRoute(layout fleet.Layout) bool {
+	return slices.ContainsFunc(layout.Routes, func(r inventory.Route) bool { return r.OpenToAll })
+}
+
 const (
 	surging       = 3
 	surgeSessions = 30
