--- a/bench/internal/experiment/experiment.go
+++ b/bench/internal/experiment/experiment.go
@@ -143,8 +143,8 @@
 }
 
 // offer runs the load and the faults side by side.
-func (e *experiment) offer(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, e.Duration+drainTime)
+func (e *experiment) offer(parent context.Context) error {
+	ctx, cancel := context.WithTimeout(parent, e.Duration+drainTime)
 	defer cancel()
 	e.load = load.New(e.config())
 	e.load.SetKey(probeWorkspace, e.fleet.Keys[probeWorkspace].Key)
@@ -154,11 +154,13 @@
 	var faults sync.WaitGroup
 	faults.Go(func() { e.bringAbout(loadCtx) })
 	faults.Go(func() { e.showProgress(loadCtx) })
-	err := e.load.Run(loadCtx)
+	if e.load.Run(loadCtx) != nil && parent.Err() == nil {
+		e.run.Skipped = append(e.run.Skipped, fmt.Sprintf("requests without an answer %s after the load were given up", drainTime))
+	}
 	stop()
 	faults.Wait()
 	e.watchers.Wait()
-	return err
+	return parent.Err()
 }
 
 func (e *experiment) showProgress(ctx context.Context) {
