Connections to databases leave from the instance's own address

Cause: a cut between data centres could not be brought about in tests, because entries and control dialled databases from any address; the same code to open monitoring connections stood twice. Change: instance/dialer opens them for both; pools and cancel requests use the same source. Conclusion: the partition tests now cut what they say.

--- a/control/internal/command/process.go
+++ b/control/internal/command/process.go
@@ -129,7 +129,9 @@
 		return err
 	}
 	rosters := roster.New(listed.DefaultConfig())
-	p.monitor = monitor.New(monitor.DefaultConfig())
+	bounds := monitor.DefaultConfig()
+	bounds.Source = p.endpoint.Address().Addr()
+	p.monitor = monitor.New(bounds)
 	p.endpoint.Handle(protocol.KindAnnounce, rosters.Handle)
 	p.renewal = renewal.New(renewal.Config{
 		Ledger: p.replica, Topology: rosters, Observer: rosters, Events: p.events,
--- a/control/internal/monitor/connection.go
+++ b/control/internal/monitor/connection.go
@@ -10,6 +10,7 @@
 
 	"github.com/jackc/pgx/v5/pgconn"
 
+	"lentilwind.dev/instance/dialer"
 	"lentilwind.dev/lentilwind/group"
 )
 
@@ -19,24 +20,12 @@
 const parameterServer = "lentilwind.server"
 
 // dial opens a monitoring connection.
-func dial(ctx context.Context, target Target) (*pgconn.PgConn, error) {
+func dial(ctx context.Context, source netip.Addr, target Target) (*pgconn.PgConn, error) {
 	address, err := netip.ParseAddrPort(target.Address)
 	if err != nil {
 		return nil, fmt.Errorf("address of %s: %w", target.ID.Server, err)
 	}
-	cfg, err := pgconn.ParseConfig("sslmode=disable")
-	if err != nil {
-		return nil, err
-	}
-	cfg.Host = address.Addr().String()
-	cfg.Port = address.Port()
-	cfg.User = userMonitor
-	cfg.Database = string(target.ID.Service)
-	cfg.Password = ""
-	cfg.RuntimeParams = map[string]string{}
-	cfg.Fallbacks = nil
-	cfg.ConnectTimeout = 0
-	conn, err := pgconn.ConnectConfig(ctx, cfg)
+	conn, err := dialer.Monitor(ctx, source, target.ID.Service, address)
 	if err != nil {
 		return nil, err
 	}
--- a/control/internal/monitor/monitor.go
+++ b/control/internal/monitor/monitor.go
@@ -16,14 +16,13 @@
 	"lentilwind.dev/lentilwind/group"
 )
 
-// userMonitor is the user name of monitoring connections, which don't count against a server's limit.
-const userMonitor = "lentilwind-monitor"
-
 // codeWrongState is the SQLSTATE of a refusal that leaves the connection usable.
 const codeWrongState = "55000"
 
 // Config has the bounds of a Monitor.
 type Config struct {
+	// Source is the address that connections leave from; zero leaves the choice to the system.
+	Source netip.Addr
 	// ProbeTimeout bounds a probe, from the dial to the answer.
 	ProbeTimeout time.Duration
 	// AnswerTimeout bounds any other request, the dial included.
@@ -97,7 +96,7 @@
 	m.sent.Add(1)
 	ctx, cancel := context.WithTimeout(ctx, m.cfg.ProbeTimeout)
 	defer cancel()
-	conn, err := dial(ctx, target)
+	conn, err := dial(ctx, m.cfg.Source, target)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return failover.ProbeRefused
 	}
@@ -154,7 +153,7 @@
 			return answer
 		}
 	}
-	conn, err := dial(ctx, target)
+	conn, err := dial(ctx, m.cfg.Source, target)
 	if err != nil {
 		return Answer{Outcome: failover.OutcomeUnknown, Err: fmt.Errorf("monitor: %w", err)}
 	}
--- a/entry/internal/caller/bench_test.go
+++ b/entry/internal/caller/bench_test.go
@@ -166,7 +166,7 @@
 	})
 	d.Apply(&delta, &topology)
 	d.ExtendLease(time.Now().Add(time.Hour))
-	pools := pool.NewSet()
+	pools := pool.NewSet(netip.Addr{})
 	pools.Configure([]pool.Target{{
 		Service: testService, Server: serverName(0), Address: netip.MustParseAddrPort(databases.Addr().String()), Limit: connections,
 	}})
--- a/entry/internal/caller/harness_test.go
+++ b/entry/internal/caller/harness_test.go
@@ -187,7 +187,7 @@
 		f.t.Fatal(err)
 	}
 	keeper := positions.New(positions.Config{Directory: f.directory, DataCentre: "raquira", Log: logs.Discard()})
-	e := &entry{pools: pool.NewSet()}
+	e := &entry{pools: pool.NewSet(netip.Addr{})}
 	f.configure(e.pools)
 	e.server = caller.NewServer(caller.Config{
 		Directory: f.directory, Positions: keeper, Executor: f.newExecutor(e.pools), Signer: signer, Quota: f.quota,
--- a/entry/internal/command/entry.go
+++ b/entry/internal/command/entry.go
@@ -65,7 +65,7 @@
 func newEntry(s *settings.Settings, w io.Writer) (*entry, error) {
 	e := &entry{
 		settings: s, incarnation: protocol.Incarnation(time.Now().UnixMilli()), clock: &hlc.Clock{},
-		timers: timer.NewService(), directory: directory.New(), pools: pool.NewSet(),
+		timers: timer.NewService(), directory: directory.New(), pools: pool.NewSet(netip.MustParseAddrPort(s.Listen.Peers).Addr()),
 	}
 	var err error
 	if e.log, err = logs.New(w, s.LogLevel, string(s.Name)); err != nil {
@@ -102,7 +102,7 @@
 		control = append(control, netip.MustParseAddrPort(address))
 	}
 	leader := membership.NewLeader(endpoint, control)
-	e.keeper = positions.New(positions.Config{Directory: e.directory, DataCentre: s.DataCentre, Log: e.log})
+	e.keeper = positions.New(positions.Config{Directory: e.directory, DataCentre: s.DataCentre, Source: endpoint.Address().Addr(), Log: e.log})
 	e.membership = membership.New(membership.Config{
 		Name: s.Name, Incarnation: e.incarnation, DataCentre: s.DataCentre, Address: e.advertised(), Endpoint: endpoint,
 		Leader: leader, Directory: e.directory, Log: e.log, Events: e.events, Suspects: e.keeper.Suspects, Running: e.running,
--- a/entry/internal/pool/conn.go
+++ b/entry/internal/pool/conn.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sys/unix"
 
 	"lentilwind.dev/entry/internal/relay"
+	"lentilwind.dev/instance/dialer"
 	"lentilwind.dev/lentilwind/group"
 )
 
@@ -69,12 +70,11 @@
 }
 
 // Dial opens a connection and waits until the database is ready.
-func Dial(ctx context.Context, address netip.AddrPort, service group.Service) (*Conn, error) {
-	dialer := net.Dialer{
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
-		Control:         setUserTimeout,
-	}
-	raw, err := dialer.DialContext(ctx, "tcp", address.String())
+func Dial(ctx context.Context, source netip.Addr, address netip.AddrPort, service group.Service) (*Conn, error) {
+	d := dialer.From(source)
+	d.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
+	d.Control = setUserTimeout
+	raw, err := d.DialContext(ctx, "tcp", address.String())
 	if err != nil {
 		return nil, fmt.Errorf("pool: %w", err)
 	}
@@ -162,7 +162,7 @@
 	c.cancelling = done
 	go func() {
 		defer close(done)
-		sendCancel(c.RemoteAddr().String(), c.processID, c.secretKey)
+		sendCancel(c.LocalAddr().(*net.TCPAddr).AddrPort().Addr(), c.RemoteAddr().String(), c.processID, c.secretKey)
 	}()
 }
 
@@ -185,8 +185,10 @@
 	return c.cancelledOnce || c.cancelling != nil
 }
 
-func sendCancel(address string, processID uint32, secretKey []byte) {
-	conn, err := net.DialTimeout("tcp", address, cancelTimeout)
+func sendCancel(source netip.Addr, address string, processID uint32, secretKey []byte) {
+	d := dialer.From(source)
+	d.Timeout = cancelTimeout
+	conn, err := d.Dial("tcp", address)
 	if err != nil {
 		return
 	}
--- a/entry/internal/pool/pool.go
+++ b/entry/internal/pool/pool.go
@@ -33,6 +33,8 @@
 type Pool struct {
 	service group.Service
 	server  group.Server
+	// source is the address that connections leave from.
+	source netip.Addr
 
 	mu      sync.Mutex
 	address netip.AddrPort
@@ -197,7 +199,7 @@
 	p.mu.Lock()
 	address := p.address
 	p.mu.Unlock()
-	conn, err := Dial(ctx, address, p.service)
+	conn, err := Dial(ctx, p.source, address, p.service)
 	p.observe(err == nil)
 	if err != nil {
 		p.Release(nil, false)
--- a/entry/internal/pool/set.go
+++ b/entry/internal/pool/set.go
@@ -21,13 +21,15 @@
 
 // Set is the pools of an entry by server; it is read without locks.
 type Set struct {
+	source netip.Addr
+
 	mu    sync.Mutex
 	pools atomic.Pointer[map[group.Server]*Pool]
 }
 
-// NewSet returns an empty set.
-func NewSet() *Set {
-	s := &Set{}
+// NewSet returns an empty set; its connections leave from the given address, or from any for the zero one.
+func NewSet(source netip.Addr) *Set {
+	s := &Set{source: source}
 	s.pools.Store(&map[group.Server]*Pool{})
 	return s
 }
@@ -50,6 +52,7 @@
 		delete(left, target.Server)
 		if p == nil {
 			p = NewPool(target.Service, target.Server, target.Address, target.Limit)
+			p.source = s.source
 		} else {
 			p.Configure(target.Address, target.Limit)
 		}
--- a/entry/internal/positions/keeper.go
+++ b/entry/internal/positions/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,7 +21,9 @@
 type Config struct {
 	Directory  *directory.Directory
 	DataCentre inventory.DataCentre
-	Log        *log.Logger
+	// Source is the address that monitoring connections leave from; zero leaves the choice to the system.
+	Source netip.Addr
+	Log    *log.Logger
 	// ExpectedWait tells how long a request would wait for a connection to a server; nil stands for no wait.
 	ExpectedWait func(group.Server) time.Duration
 }
--- a/entry/internal/positions/monitor.go
+++ b/entry/internal/positions/monitor.go
@@ -11,6 +11,7 @@
 
 	"github.com/jackc/pgx/v5/pgconn"
 
+	"lentilwind.dev/instance/dialer"
 	"lentilwind.dev/lentilwind/group"
 	"lentilwind.dev/lentilwind/protocol"
 )
@@ -103,7 +104,7 @@
 		return
 	}
 	dialContext, cancel := context.WithTimeout(ctx, dialTimeout)
-	conn, err := dial(dialContext, m.service, server.Address)
+	conn, err := dialer.Monitor(dialContext, m.keeper.cfg.Source, m.service, server.Address)
 	cancel()
 	m.refused.Store(errors.Is(err, syscall.ECONNREFUSED))
 	if err != nil {
--- a/entry/internal/positions/query.go
+++ b/entry/internal/positions/query.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/netip"
 	"strconv"
 	"time"
 
@@ -12,32 +11,9 @@
 	"lentilwind.dev/lentilwind/group"
 )
 
-// monitorUser opens connections that do not count against a server's limit.
-const monitorUser = "lentilwind-monitor"
-
 // statusColumns is the number of columns of a status row.
 const statusColumns = 7
 
-func dial(ctx context.Context, service group.Service, address netip.AddrPort) (*pgconn.PgConn, error) {
-	cfg, err := pgconn.ParseConfig("sslmode=disable")
-	if err != nil {
-		return nil, fmt.Errorf("positions: %w", err)
-	}
-	cfg.Host = address.Addr().String()
-	cfg.Port = address.Port()
-	cfg.User = monitorUser
-	cfg.Password = ""
-	cfg.Database = string(service)
-	cfg.TLSConfig = nil
-	cfg.Fallbacks = nil
-	cfg.RuntimeParams = map[string]string{}
-	conn, err := pgconn.ConnectConfig(ctx, cfg)
-	if err != nil {
-		return nil, fmt.Errorf("positions: %w", err)
-	}
-	return conn, nil
-}
-
 func statusQuery() string { return "SELECT * FROM lentilwind_status()" }
 
 func waitQuery(slot group.Slot, position group.Position, limit time.Duration) string {
