Positions through pool homes in fleets of more than a few entries

Cause: every entry monitored every database, and a database takes 16 monitoring connections. Change: an entry that is no home asks a home by one request for all that wait, holds one request for suspicions, and falls back to another home and then to the database. Without homes in the configuration nothing changes.

--- a/entry/internal/positions/group.go
+++ b/entry/internal/positions/group.go
@@ -1,6 +1,7 @@
 package positions
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +20,7 @@
 
 	mu      sync.Mutex
 	waiters []*waiter
+	remote  []*remoteWant
 	changed chan struct{}
 }
 
@@ -103,14 +105,20 @@
 	}
 	clear(g.waiters[len(left):])
 	g.waiters = left
-	g.waiting.Store(int32(len(left)))
+	for _, w := range g.remote {
+		w.settle()
+	}
+	g.count()
 }
 
+// count keeps the number of those who wait; g.mu is held.
+func (g *groupState) count() { g.waiting.Store(int32(len(g.waiters) + len(g.remote))) }
+
 func (g *groupState) add(w *waiter) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.waiters = append(g.waiters, w)
-	g.waiting.Store(int32(len(g.waiters)))
+	g.count()
 }
 
 func (g *groupState) remove(w *waiter) {
@@ -122,7 +130,22 @@
 			break
 		}
 	}
-	g.waiting.Store(int32(len(g.waiters)))
+	g.count()
+}
+
+func (g *groupState) addRemote(w *remoteWant) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.remote = append(g.remote, w)
+	g.count()
+	w.settle()
+}
+
+func (g *groupState) removeRemote(w *remoteWant) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.remote = slices.DeleteFunc(g.remote, func(other *remoteWant) bool { return other == w })
+	g.count()
 }
 
 func (g *groupState) changes() <-chan struct{} {
@@ -131,24 +154,49 @@
 	return g.changed
 }
 
-// demand returns what the waiters need of one member: a position to wait for, or any newer sample.
-func (g *groupState) demand(m *member) (position group.Position, write, fresh bool) {
+// need is what those who wait need of one member.
+type need struct {
+	// write asks for a status of the term that has received the position.
+	write    bool
+	term     group.Term
+	position group.Position
+	// fresh asks for any newer sample.
+	fresh bool
+}
+
+// add takes in a write; the least position is waited for first.
+func (n *need) add(term group.Term, position group.Position, sample *confirm.Sample) {
+	if position <= sample.Status.Received && sample.Status.Term == term {
+		return
+	}
+	if !n.write || position < n.position {
+		n.write, n.term, n.position = true, term, position
+	}
+}
+
+// demand returns what the waiters of this entry and of others need of one member.
+func (g *groupState) demand(m *member) need {
+	var n need
 	if g.waiting.Load() == 0 {
-		return 0, false, false
+		return n
 	}
 	sample := m.load()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, w := range g.waiters {
-		if w.purpose != forWrite && sample.Start.Before(w.since) {
-			fresh = true
+		n.fresh = n.fresh || w.purpose != forWrite && sample.Start.Before(w.since)
+		if w.purpose != forFloor {
+			n.add(w.term, w.position, &sample)
 		}
-		if w.purpose == forFloor || w.position <= sample.Status.Received && sample.Status.Term == w.term {
+	}
+	for _, w := range g.remote {
+		if w.member != m {
 			continue
 		}
-		if !write || w.position < position {
-			position, write = w.position, true
+		n.fresh = n.fresh || sample.Start.Before(w.since)
+		if w.Write {
+			n.add(w.Term, w.Position, &sample)
 		}
 	}
-	return position, write, fresh
+	return n
 }
--- a/entry/internal/positions/keeper.go
+++ b/entry/internal/positions/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,6 +24,12 @@
 	Log        *log.Logger
 	// ExpectedWait tells how long a request would wait for a connection to a server; nil stands for no wait.
 	ExpectedWait func(group.Server) time.Duration
+	// Homes names the entries that watch a server for the others; nil means that this entry watches every server itself.
+	Homes Homes
+	// Peers sends requests to other entries.
+	Peers Peers
+	// DirectEntries is the size of a fleet up to which every entry watches every server itself.
+	DirectEntries int
 }
 
 // Keeper keeps the samples of every group of the inventory.
@@ -31,13 +38,22 @@
 	origin time.Time
 	groups atomic.Pointer[map[group.ID]*groupState]
 
-	mu       sync.Mutex
-	monitors map[group.Server]*monitor
+	reassign chan struct{}
+
+	mu        sync.Mutex
+	monitors  map[group.Server]*monitor
+	observers map[netip.AddrPort]*observer
+	// observerOf is the observer that follows a server.
+	observerOf map[group.Server]*observer
+	avoided    map[avoided]time.Time
 }
 
 // New returns a keeper that monitors nothing before Run.
 func New(cfg Config) *Keeper {
-	k := &Keeper{cfg: cfg, origin: time.Now(), monitors: make(map[group.Server]*monitor)}
+	k := &Keeper{
+		cfg: cfg, origin: time.Now(), reassign: make(chan struct{}, 1), monitors: make(map[group.Server]*monitor),
+		observers: make(map[netip.AddrPort]*observer), observerOf: make(map[group.Server]*observer), avoided: make(map[avoided]time.Time),
+	}
 	k.groups.Store(&map[group.ID]*groupState{})
 	k.rebuild()
 	return k
@@ -51,13 +67,19 @@
 	defer running.Wait()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	ticker := time.NewTicker(assignPeriod)
+	defer ticker.Stop()
+	k.rebuild()
 	for {
-		k.rebuild()
-		k.startMonitors(ctx, &running)
+		k.assign(ctx, &running)
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-subscription.Changed:
+			k.rebuild()
+			k.wakeMonitors()
+		case <-k.reassign:
+		case <-ticker.C:
 		}
 	}
 }
--- a/entry/internal/positions/monitor.go
+++ b/entry/internal/positions/monitor.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -41,30 +40,6 @@
 	refused  atomic.Bool
 }
 
-// startMonitors starts a monitor for each new server of the inventory and ends those of servers that are gone.
-func (k *Keeper) startMonitors(ctx context.Context, running *sync.WaitGroup) {
-	snapshot := k.cfg.Directory.Snapshot()
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	for name, m := range k.monitors {
-		if server := snapshot.Server(name); server == nil || server.Service != m.service {
-			m.cancel()
-			delete(k.monitors, name)
-		}
-	}
-	for server := range snapshot.Servers {
-		if m := k.monitors[server.Name]; m != nil {
-			m.wake()
-			continue
-		}
-		monitorContext, cancel := context.WithCancel(ctx)
-		m := &monitor{keeper: k, server: server.Name, service: server.Service, signal: make(chan struct{}, 1), cancel: cancel}
-		m.answered.Store(int64(time.Since(k.origin)))
-		k.monitors[server.Name] = m
-		running.Go(func() { m.run(monitorContext) })
-	}
-}
-
 func (m *monitor) wake() {
 	select {
 	case m.signal <- struct{}{}:
@@ -162,11 +137,11 @@
 		if g == nil || g.member(m.server) == nil {
 			continue
 		}
-		position, write, newer := g.demand(g.member(m.server))
-		if write {
-			return waitQuery(slot, position, waitLimit), 0
+		need := g.demand(g.member(m.server))
+		if need.write {
+			return waitQuery(slot, need.position, waitLimit), 0
 		}
-		fresh = fresh || newer
+		fresh = fresh || need.fresh
 		active = active || now-time.Duration(g.viewed.Load()) < activeFor
 	}
 	switch {
@@ -178,16 +153,27 @@
 	return statusQuery(), idlePeriod
 }
 
-// Suspects returns the servers that refuse connections or have given no answer for a while.
+func (m *monitor) silent(now time.Time) time.Duration {
+	return now.Sub(m.keeper.origin) - time.Duration(m.answered.Load())
+}
+
+// suspected tells that the server refuses connections or has given no answer for a while.
+func (m *monitor) suspected(now time.Time) bool {
+	return m.refused.Load() || m.silent(now) >= suspectAfter
+}
+
+// Suspects returns the servers that give this entry, or the home that it asks, no answer.
 func (k *Keeper) Suspects(now time.Time) []protocol.Suspicion {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	var suspects []protocol.Suspicion
 	for _, m := range k.monitors {
-		silent := now.Sub(k.origin) - time.Duration(m.answered.Load())
-		if m.refused.Load() || silent >= suspectAfter {
-			suspects = append(suspects, protocol.Suspicion{Service: m.service, Server: m.server, Silent: silent})
+		if m.suspected(now) {
+			suspects = append(suspects, protocol.Suspicion{Service: m.service, Server: m.server, Silent: m.silent(now)})
 		}
 	}
+	for _, o := range k.observers {
+		suspects = o.appendSuspects(suspects, now)
+	}
 	return suspects
 }
--- a/entry/internal/positions/wait.go
+++ b/entry/internal/positions/wait.go
@@ -58,7 +58,7 @@
 	return nil
 }
 
-// wake lets the monitors of a group's members look at its waiters.
+// wake lets the monitors and observers of a group's members look at its waiters.
 func (k *Keeper) wake(g *groupState) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -66,5 +66,8 @@
 		if monitor := k.monitors[m.server]; monitor != nil {
 			monitor.wake()
 		}
+		if o := k.observerOf[m.server]; o != nil {
+			o.wake()
+		}
 	}
 }
