Positions are learned through pool homes in large fleets

Cause: each server allows 16 monitoring connections, and there will be hundreds of entries. Change: up to 8 entries monitor every server themselves; beyond that an entry asks a home, and homes answer the others.

--- a/entry/internal/caller/harness_test.go
+++ b/entry/internal/caller/harness_test.go
@@ -233,6 +233,8 @@
 	return append(dst, h...), false
 }
 
+func (h homes) IsHome(group.Server) bool { return false }
+
 func (f *fleet) newEndpoint(authority identity.Pair, name string) *link.Endpoint {
 	f.t.Helper()
 	signer, err := identity.LoadAuthority(authority)
--- a/entry/internal/command/entry.go
+++ b/entry/internal/command/entry.go
@@ -55,10 +55,12 @@
 	keeper     *positions.Keeper
 	quota      *quota.Quota
 	pools      *pool.Set
-	placement  *executor.Placement
-	homes      *homes.Homes
-	home       *executor.Home
-	server     *caller.Server
+	// places is the placement or the homes, whichever the settings choose; the other one is nil.
+	places    executor.Homes
+	placement *executor.Placement
+	homes     *homes.Homes
+	home      *executor.Home
+	server    *caller.Server
 
 	stopping atomic.Bool
 }
@@ -88,6 +90,10 @@
 	return e, e.listenToCallers()
 }
 
+// directEntries is the size of a fleet up to which every entry monitors every server; control monitors them too, and a server
+// allows 16 such connections.
+const directEntries = 8
+
 // connectPeers puts together what talks to the other processes.
 func (e *entry) connectPeers() error {
 	s := e.settings
@@ -105,7 +111,12 @@
 	}
 	leader := membership.NewLeader(endpoint, control)
 	e.leader = leader
-	e.keeper = positions.New(positions.Config{Directory: e.directory, DataCentre: s.DataCentre, Source: endpoint.Address().Addr(), Log: e.log})
+	e.places = e.newHomes()
+	e.keeper = positions.New(positions.Config{
+		Directory: e.directory, DataCentre: s.DataCentre, Source: endpoint.Address().Addr(), Log: e.log,
+		Homes: e.places, Peers: endpoint, DirectEntries: directEntries,
+	})
+	endpoint.Handle(protocol.KindObserve, e.keeper.ServeObserve)
 	e.membership = membership.New(membership.Config{
 		Name: s.Name, Incarnation: e.incarnation, DataCentre: s.DataCentre, Address: e.advertised(), Endpoint: endpoint,
 		Leader: leader, Directory: e.directory, Log: e.log, Events: e.events, Suspects: e.keeper.Suspects, Running: e.running,
@@ -137,7 +148,7 @@
 	}
 	local := executor.NewLocal(e.pools)
 	e.home = executor.NewHome(local)
-	router := executor.NewRouter(local, executor.NewRemote(e.endpoint), e.newHomes())
+	router := executor.NewRouter(local, executor.NewRemote(e.endpoint), e.places)
 	e.endpoint.HandleStream(protocol.KindTransaction, e.home.ServeStream)
 	e.server = caller.NewServer(caller.Config{
 		Directory: e.directory, Positions: e.keeper, Executor: router, Quota: e.quota, Signer: signer,
--- a/entry/internal/executor/placement.go
+++ b/entry/internal/executor/placement.go
@@ -92,6 +92,12 @@
 	return dst, false
 }
 
+// IsHome tells whether this entry is a home of the server.
+func (p *Placement) IsHome(server group.Server) bool {
+	s := (*p.servers.Load())[server]
+	return s != nil && s.local
+}
+
 // Follow takes in a snapshot and returns the servers that this entry is a home of; those without new work have no address.
 func (p *Placement) Follow(snapshot *directory.Snapshot) []pool.Target {
 	servers := make(map[group.Server]*placed)
--- a/entry/internal/executor/router.go
+++ b/entry/internal/executor/router.go
@@ -17,6 +17,8 @@
 type Homes interface {
 	// Homes appends the addresses of the server's pool homes, the best first; local tells that this entry is the best.
 	Homes(server group.Server, dst []netip.AddrPort) (homes []netip.AddrPort, local bool)
+	// IsHome tells whether this entry is a home of the server.
+	IsHome(server group.Server) bool
 }
 
 // Router runs transactions over the entry's own connections or at a home.
