Idle connections outlive the deadline of their last answer; answers that are not used are read to their end

Cause: the look at an idle connection failed once the deadline of its last answer had passed, so that pools were dialled again after every quiet time; a replica that was found behind cost its connection. Change: the deadline is lifted before the look; short answers that must not be used are read, up to 64 KB; two connections stay open through quiet times; what a refused read learned of a replica is passed on. Conclusion: the new test fails without the change.

--- a/entry/internal/caller/exchange.go
+++ b/entry/internal/caller/exchange.go
@@ -155,10 +155,7 @@
 
 // finish ends an exchange whose answer is complete; a failure means that nothing was relayed.
 func (x *exchange) finish() (bool, *outcome.Failure) {
-	x.position = x.tx.Position()
-	if !x.position.Sent.IsZero() {
-		x.caller.server.cfg.Positions.Observe(x.ticket.id.Service, x.where.opening.Server, x.position.Status, x.position.Sent)
-	}
+	x.observe()
 	if x.block != executor.BlockNone {
 		return x.keepBlock()
 	}
@@ -175,6 +172,14 @@
 	return x.deliver(), nil
 }
 
+// observe passes on what the server reported of its member.
+func (x *exchange) observe() {
+	x.position = x.tx.Position()
+	if !x.position.Sent.IsZero() {
+		x.caller.server.cfg.Positions.Observe(x.ticket.id.Service, x.where.opening.Server, x.position.Status, x.position.Sent)
+	}
+}
+
 // refusedByScope tells whether the database refused a write because it is no valid primary, so that nothing was done.
 func (x *exchange) refusedByScope() *outcome.Failure {
 	if x.ticket.reads() || x.errorState != stateReadOnly && x.errorState != stateNoScope {
--- a/entry/internal/caller/run.go
+++ b/entry/internal/caller/run.go
@@ -87,6 +87,7 @@
 	x := &c.buffers.exchange
 	*x = exchange{caller: c, tx: tx, where: where, ticket: t, sent: time.Now()}
 	if err := tx.Send(c.buffers.request.Data); err != nil {
+		x.observe()
 		x.close()
 		return false, outcome.Of(err)
 	}
--- a/entry/internal/executor/first.go
+++ b/entry/internal/executor/first.go
@@ -175,8 +175,27 @@
 	if err := t.readPreamble(p); err != nil {
 		return t.lost(err)
 	}
+	err := t.checkFloor()
+	if err != nil {
+		t.drain()
+		return err
+	}
 	_ = t.conn.SetReadDeadline(t.sent.Add(t.opening.AnswerFor))
-	return t.checkFloor()
+	return nil
+}
+
+// maxDrainBytes bounds what is read of an answer that nobody wants.
+const maxDrainBytes = 64 << 10
+
+// drain reads a short answer that must not be used, so that the connection can be.
+func (t *local) drain() {
+	for n := 0; n < maxDrainBytes; n += len(t.body) {
+		var event Event
+		var err error
+		if t.body, event, err = t.Next(t.body[:0]); err != nil || event.Done {
+			return
+		}
+	}
 }
 
 // checkFloor refuses a server that does not show what a read must see; its answer is never passed on.
@@ -230,6 +249,5 @@
 		t.conn.Scope, t.conn.Scoped = t.scope, true
 	}
 	t.conn.Proven = time.Now()
-	t.pool.Answered()
 	return nil
 }
--- a/entry/internal/executor/transaction.go
+++ b/entry/internal/executor/transaction.go
@@ -249,7 +249,6 @@
 	}
 	t.block, event.Block = body[0], body[0]
 	t.conn.Proven = time.Now()
-	t.pool.Answered()
 }
 
 // parsed records that the oldest owed statement is prepared.
--- a/entry/internal/pool/alive.go
+++ b/entry/internal/pool/alive.go
@@ -19,6 +19,10 @@
 	if time.Since(c.Proven) < checkAfter {
 		return true
 	}
+	// The deadline of the last answer would fail the look at a good connection.
+	if c.SetReadDeadline(time.Time{}) != nil {
+		return false
+	}
 	conn, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return true
--- a/entry/internal/pool/pool.go
+++ b/entry/internal/pool/pool.go
@@ -21,6 +21,9 @@
 // maxIdleFor is how long a connection stays open without use.
 const maxIdleFor = 5 * time.Minute
 
+// keepOpen connections stay open for the next burst.
+const keepOpen = 2
+
 // warmTimeout bounds the opening of one connection ahead of need.
 const warmTimeout = 5 * time.Second
 
@@ -50,15 +53,11 @@
 	// writes counts the running write transactions.
 	writes  map[writeKey]int
 	waiting waiters
-	// answered is when the server last answered anything.
-	answered time.Time
-	// failing is when the first attempt failed since; zero while the server answers.
-	failing time.Time
 }
 
 // NewPool returns an empty pool of at most limit connections.
 func NewPool(service group.Service, server group.Server, address netip.AddrPort, limit int) *Pool {
-	return &Pool{service: service, server: server, address: address, limit: limit, answered: time.Now(), waiting: newWaiters(), writes: make(map[writeKey]int), active: make(map[*Conn]struct{})}
+	return &Pool{service: service, server: server, address: address, limit: limit, waiting: newWaiters(), writes: make(map[writeKey]int), active: make(map[*Conn]struct{})}
 }
 
 // Acquire returns a connection that nobody else uses, opened if need be.
@@ -225,7 +224,6 @@
 	address := p.address
 	p.mu.Unlock()
 	conn, err := Dial(ctx, p.source, address, p.service)
-	p.observe(err == nil)
 	if err != nil {
 		p.Release(nil, false)
 		return nil, err
@@ -233,26 +231,8 @@
 	return conn, nil
 }
 
-// observe records whether the server answered.
-func (p *Pool) observe(answered bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := time.Now()
-	if answered {
-		p.answered, p.failing = now, time.Time{}
-		return
-	}
-	if p.failing.IsZero() {
-		p.failing = now
-	}
-}
-
-// Answered records that the server has just answered.
-func (p *Pool) Answered() { p.observe(true) }
-
 // Silent records that a connection got no answer; idle ones must prove themselves before their next use.
 func (p *Pool) Silent() {
-	p.observe(false)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, conn := range p.idle {
@@ -260,16 +240,6 @@
 	}
 }
 
-// SilentFor returns the time since the server's last answer; 0 while nothing has failed.
-func (p *Pool) SilentFor(now time.Time) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.failing.IsZero() {
-		return 0
-	}
-	return now.Sub(p.answered)
-}
-
 // Release gives a connection back; one that is not reusable is closed. A nil one gives back the right to open one.
 func (p *Pool) Release(conn *Conn, reusable bool) {
 	unusable := conn != nil && (!reusable || conn.Cancelled())
@@ -376,7 +346,7 @@
 	p.mu.Lock()
 	var old []*Conn
 	p.idle = slices.DeleteFunc(p.idle, func(conn *Conn) bool {
-		if now.Sub(conn.Proven) < maxIdleFor {
+		if now.Sub(conn.Proven) < maxIdleFor || p.open-len(old) <= keepOpen {
 			return false
 		}
 		old = append(old, conn)
--- a/entry/internal/pool/pool_test.go
+++ b/entry/internal/pool/pool_test.go
@@ -170,3 +170,18 @@
 		p.Release(conn, false)
 	}
 }
+
+func TestIdleConnectionOutlivesTheDeadlineOfItsLastAnswer(t *testing.T) {
+	p, _ := newPool(t, 2)
+	conn := acquire(t, p, want("florists", patience))
+	if err := conn.SetDeadline(time.Unix(1, 0)); err != nil {
+		t.Fatal(err)
+	}
+	conn.Proven = time.Time{}
+	p.Release(conn, true)
+	again := acquire(t, p, want("florists", patience))
+	defer p.Release(again, true)
+	if again != conn {
+		t.Error("a good connection was closed")
+	}
+}
