--- a/bench/checker/checker.go
+++ b/bench/checker/checker.go
@@ -51,17 +51,19 @@
 	// CutOffRequests counts requests without an answer in planned stops of entries.
 	CutOffRequests int `json:"cutOffRequests"`
 
-	Requests            int                     `json:"requests"`
-	Outcomes            map[history.Outcome]int `json:"outcomes"`
-	ReplicaReadShare    float64                 `json:"replicaReadShare"`
-	WrongfulRefusals    int                     `json:"wrongfulRefusals"`
-	FailoverGapMs       int64                   `json:"failoverGapMs"`
-	Failovers           []Failover              `json:"failovers"`
-	WorstWorkspaceShare float64                 `json:"worstWorkspaceShare"`
-	Workspaces          []Share                 `json:"workspaces"`
-	AddedLatencyUs      Latencies               `json:"addedLatencyUs"`
-	Faults              []FaultRow              `json:"faults"`
-	Skipped             []string                `json:"skipped"`
+	Requests         int                     `json:"requests"`
+	Outcomes         map[history.Outcome]int `json:"outcomes"`
+	ReplicaReadShare float64                 `json:"replicaReadShare"`
+	WrongfulRefusals int                     `json:"wrongfulRefusals"`
+	// FailoverGapMs is the worst gap, and FailoverGapP50Ms the median.
+	FailoverGapMs       int64      `json:"failoverGapMs"`
+	FailoverGapP50Ms    int64      `json:"failoverGapP50Ms"`
+	Failovers           []Failover `json:"failovers"`
+	WorstWorkspaceShare float64    `json:"worstWorkspaceShare"`
+	Workspaces          []Share    `json:"workspaces"`
+	AddedLatencyUs      Latencies  `json:"addedLatencyUs"`
+	Faults              []FaultRow `json:"faults"`
+	Skipped             []string   `json:"skipped"`
 	// Findings names the first broken promises of each kind.
 	Findings []Finding `json:"findings"`
 }
@@ -119,9 +121,7 @@
 	for _, r := range j.requests {
 		s.Outcomes[r.Outcome]++
 	}
-	for _, f := range s.Failovers {
-		s.FailoverGapMs = max(s.FailoverGapMs, f.GapMs)
-	}
+	s.FailoverGapP50Ms, s.FailoverGapMs = gaps(s.Failovers)
 	s.WorstWorkspaceShare = worst(s.Workspaces)
 	s.Findings = j.listFindings()
 	return s
--- a/bench/checker/reads.go
+++ b/bench/checker/reads.go
@@ -152,6 +152,19 @@
 	return list
 }
 
+// gaps returns the median and the longest gap.
+func gaps(failovers []Failover) (median, longest int64) {
+	if len(failovers) == 0 {
+		return 0, 0
+	}
+	var list []int64
+	for _, f := range failovers {
+		list = append(list, f.GapMs)
+	}
+	slices.Sort(list)
+	return list[(len(list)-1)/2], list[len(list)-1]
+}
+
 // addedLatency compares the probes through the system with the same statements sent directly.
 func (j *judge) addedLatency() Latencies {
 	var entry, direct []time.Duration
--- a/bench/internal/command/command_test.go
+++ b/bench/internal/command/command_test.go
@@ -23,6 +23,7 @@
 	for _, args := range [][]string{
 		{"check-config", "../../samples/database.jsonc"},
 		{"check-config", "--faults", "../../samples/faults.jsonc"},
+		{"check-config", "--faults", "../../samples/failovers.jsonc"},
 	} {
 		if out, err := run(args...); err != nil || !strings.Contains(out, "no faults") {
 			t.Errorf("%v: %q, %v", args, out, err)
--- a/bench/internal/experiment/experiment.go
+++ b/bench/internal/experiment/experiment.go
@@ -154,12 +154,13 @@
 	var faults sync.WaitGroup
 	faults.Go(func() { e.bringAbout(loadCtx) })
 	faults.Go(func() { e.showProgress(loadCtx) })
-	if e.load.Run(loadCtx) != nil && parent.Err() == nil {
-		e.run.Skipped = append(e.run.Skipped, fmt.Sprintf("requests without an answer %s after the load were given up", drainTime))
-	}
+	givenUp := e.load.Run(loadCtx) != nil
 	stop()
 	faults.Wait()
 	e.watchers.Wait()
+	if givenUp && parent.Err() == nil {
+		e.run.Skipped = append(e.run.Skipped, fmt.Sprintf("requests without an answer %s after the load were given up", drainTime))
+	}
 	return parent.Err()
 }
 
--- a/bench/internal/report/compare.go
+++ b/bench/internal/report/compare.go
@@ -49,6 +49,8 @@
 		{"requests", float64(s.Requests)},
 		{"replicaReadShare", s.ReplicaReadShare},
 		{"wrongfulRefusals", float64(s.WrongfulRefusals)},
+		{"failovers", float64(len(s.Failovers))},
+		{"failoverGapP50Ms", float64(s.FailoverGapP50Ms)},
 		{"failoverGapMs", float64(s.FailoverGapMs)},
 		{"worstWorkspaceShare", s.WorstWorkspaceShare},
 		{"addedLatencyUs p50", float64(s.AddedLatencyUs.P50)},
