Pipelines that end with Flush keep their commit and their connection apart

Cause: a Sync alone behind a Flush was answered by the entry without reaching the database; a connection whose pipeline had no Sync yet went back to the pool and the next user committed the left-over; a lost Sync of such a pipeline was called not run. Change: the Sync of an open pipeline is always sent and may commit; a connection without it is closed; a refusal inside such a pipeline opens no failed block; a refusal behind a part that may have committed is passed on as it is. Conclusion: the new test met all three faults before the change and passes with it.

--- a/entry/internal/caller/answer.go
+++ b/entry/internal/caller/answer.go
@@ -27,7 +27,7 @@
 		return false
 	case c.failed:
 		return c.answerFailed()
-	case !b.request.NeedsDatabase:
+	case !b.request.NeedsDatabase && c.tx == nil:
 		return c.answerAlone()
 	case b.request.Simple && c.reset():
 		return c.write(b.answer)
--- a/entry/internal/caller/exchange.go
+++ b/entry/internal/caller/exchange.go
@@ -29,6 +29,8 @@
 	sent    time.Time
 	inBlock bool
 	wrote   bool
+	// mayCommit tells that the batch may end the block with a commit.
+	mayCommit bool
 
 	// ready is the offset of ReadyForQuery in the answer; 0 while there is none.
 	ready int
@@ -71,7 +73,7 @@
 	if x.open {
 		return false, nil
 	}
-	x.caller.failed = x.inBlock && !relay.MayCommit(x.caller.buffers.request.Data)
+	x.caller.failed = x.inBlock && !x.mayCommit
 	return x.caller.writeFailure(x.caller.buffers.answer[:0], f), nil
 }
 
@@ -185,12 +187,13 @@
 	if x.ticket.reads() || x.errorState != stateReadOnly && x.errorState != stateNoScope {
 		return nil
 	}
-	if x.inBlock {
-		return outcome.At(outcome.ReasonRolledBack, nil)
-	}
 	if x.completes > 0 {
+		// A part before the refused one may have committed.
 		return nil
 	}
+	if x.inBlock {
+		return outcome.At(outcome.ReasonRolledBack, nil)
+	}
 	opening := &x.where.opening
 	x.ticket.tried = group.Configuration{Group: opening.Group, Term: opening.Term, Primary: opening.Server}
 	return outcome.At(outcome.ReasonRefusedBefore, nil)
@@ -256,7 +259,7 @@
 	}
 	if failure := x.refusedByScope(); failure != nil {
 		x.close()
-		c.failed = x.inBlock
+		c.failed = x.inBlock && !x.mayCommit
 		return x.cut(failure)
 	}
 	c.setRunning(nil)
@@ -266,6 +269,7 @@
 		c.tx.ticket.view = route.View{}
 	}
 	c.tx.wrote = x.wrote
+	c.tx.implicit = x.ready == 0
 	return c.write(c.buffers.answer), nil
 }
 
--- a/entry/internal/caller/protocol_test.go
+++ b/entry/internal/caller/protocol_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/jackc/pgx/v5"
@@ -22,6 +23,9 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = hijacked.Conn.Close() })
+	if err := hijacked.Conn.SetDeadline(time.Now().Add(patience)); err != nil {
+		t.Fatal(err)
+	}
 	return &frontend{Frontend: pgproto3.NewFrontend(hijacked.Conn, hijacked.Conn), t: t}
 }
 
@@ -47,6 +51,9 @@
 			got = append(got, string(m.CommandTag))
 		case *pgproto3.ErrorResponse:
 			got = append(got, m.Code)
+			if n > 0 {
+				return got
+			}
 		case *pgproto3.ReadyForQuery:
 			got = append(got, "ready "+string(m.TxStatus))
 			if n == 0 {
@@ -98,6 +105,23 @@
 	c.want("empty query", c.exchange(0, &pgproto3.Query{}), "EmptyQueryResponse", "ready I")
 }
 
+func TestLostPipelineIsUnknownOnceItsSyncWasSent(t *testing.T) {
+	f := newFleet(t, nil)
+	c := f.newEntry().newFrontend(t)
+	bind, execute, sync, flush := &pgproto3.Bind{}, &pgproto3.Execute{}, &pgproto3.Sync{}, &pgproto3.Flush{}
+	insert := parse("/*route='order'*/ INSERT INTO stock (key, value) VALUES ('a', 1)")
+	c.want("flush", c.exchange(3, insert, bind, execute, flush), "ParseComplete", "BindComplete", "INSERT 0 1")
+	f.databases[0].Drop()
+	c.want("sync", c.exchange(0, sync), "LW002", "ready I")
+	c.want("flush again", c.exchange(3, insert, bind, execute, flush), "ParseComplete", "BindComplete", "INSERT 0 1")
+	c.want("sync commits", c.exchange(0, sync), "ready I")
+	c.want("committed", c.exchange(0, &pgproto3.Query{String: "SELECT key FROM stock"}), "RowDescription", "DataRow", "SELECT 1", "ready I")
+	insert = parse("/*route='order'*/ INSERT INTO stock (key, value) VALUES ('b', 1)")
+	c.want("flush a third time", c.exchange(3, insert, bind, execute, flush), "ParseComplete", "BindComplete", "INSERT 0 1")
+	c.want("refused in the pipeline", c.exchange(0, parse("SELECT '"+testKey+"'"), sync), "LW001", "ready I")
+	c.want("after it", c.exchange(0, &pgproto3.Query{String: "SELECT key FROM stock"}), "RowDescription", "DataRow", "SELECT 1", "ready I")
+}
+
 func TestEveryModeOfTheDriverWorks(t *testing.T) {
 	f := newFleet(t, nil)
 	e := f.newEntry()
--- a/entry/internal/caller/refuse.go
+++ b/entry/internal/caller/refuse.go
@@ -31,7 +31,7 @@
 	switch {
 	case c.failed:
 		return executor.BlockFailed
-	case c.tx != nil || c.begin != "":
+	case c.tx != nil && !c.tx.implicit || c.begin != "":
 		return executor.BlockOpen
 	}
 	return executor.BlockNone
--- a/entry/internal/caller/run.go
+++ b/entry/internal/caller/run.go
@@ -104,6 +104,8 @@
 	ticket ticket
 	where  target
 	wrote  bool
+	// implicit tells that no ReadyForQuery has reported an open block, so that the next Sync commits.
+	implicit bool
 }
 
 // continueBlock runs a further batch of an open block.
@@ -115,6 +117,7 @@
 	c.setRunning(b.tx)
 	x := &c.buffers.exchange
 	*x = exchange{caller: c, tx: b.tx, where: &b.where, ticket: &b.ticket, sent: time.Now(), inBlock: true, wrote: b.wrote}
+	x.mayCommit = b.implicit || relay.MayCommit(c.buffers.request.Data)
 	if err := b.tx.Send(c.buffers.request.Data); err != nil {
 		return c.blockLost(x, outcome.Of(err))
 	}
@@ -133,25 +136,25 @@
 // Without a commit in what was sent, the database rolls the block back for sure.
 func (c *caller) blockLost(x *exchange, f *outcome.Failure) bool {
 	x.close()
-	commits := relay.MayCommit(c.buffers.request.Data)
-	if f.State == outcome.Unknown && !commits {
+	if f.State == outcome.Unknown && !x.mayCommit {
 		f = outcome.At(outcome.ReasonRolledBack, f.Cause)
 	}
 	if x.relayed {
 		alive, _ := x.cut(f)
 		return alive
 	}
-	c.failed = !commits
+	c.failed = !x.mayCommit
 	return c.refuse(f)
 }
 
 // abortBlock rolls the open block back; the caller must end it before it can go on.
 func (c *caller) abortBlock() {
+	implicit := c.tx != nil && c.tx.implicit
 	if c.tx != nil {
 		c.closeBlock()
 	}
 	c.begin = ""
-	c.failed = true
+	c.failed = !implicit
 }
 
 func (c *caller) closeBlock() {
--- a/entry/internal/executor/local.go
+++ b/entry/internal/executor/local.go
@@ -46,7 +46,7 @@
 	}}
 	t.plan.Reset()
 	t.position = Position{}
-	t.placed, t.broken, t.block, t.rest = false, false, BlockNone, 0
+	t.placed, t.broken, t.unsynced, t.block, t.rest = false, false, false, BlockNone, 0
 	t.parses = t.parses[:0]
 }
 
@@ -92,7 +92,7 @@
 }
 
 func (t *local) reusable() bool {
-	return !t.broken && t.plan.Done() && t.rest == 0 && t.block == BlockNone
+	return !t.broken && !t.unsynced && t.plan.Done() && t.rest == 0 && t.block == BlockNone
 }
 
 // Cancel ends the running statement.
--- a/entry/internal/executor/transaction.go
+++ b/entry/internal/executor/transaction.go
@@ -32,6 +32,8 @@
 	// broken connections are never used again.
 	broken bool
 	block  byte
+	// unsynced tells that the last batch ended with Flush, so that the database still waits for more of its pipeline.
+	unsynced bool
 	// rest is the number of bytes of the present message that are still to come.
 	rest int
 	// parses holds the internal names of statements whose ParseComplete is owed, the oldest first.
@@ -104,6 +106,7 @@
 }
 
 func (t *local) appendMessage(dst []byte, kind relay.Kind, body, message []byte) []byte {
+	t.unsynced = kind != relay.KindQuery && kind != relay.KindSync
 	switch kind {
 	case relay.KindQuery:
 		t.plan.Add(relay.StepQuery)
