--- a/control/internal/failover/entries_test.go
+++ b/control/internal/failover/entries_test.go
@@ -97,7 +97,7 @@
 		}
 	}
 	if conn != nil {
-		_ = conn.Close(context.Background())
+		_ = conn.PgConn().Conn().Close()
 	}
 	return nil
 }
--- a/control/internal/failover/fleet_test.go
+++ b/control/internal/failover/fleet_test.go
@@ -154,6 +154,7 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
+	f.cleanup(func() { f.closeRelays() })
 	f.cleanup(func() { _ = servers.Close() })
 	for i, name := range names {
 		n := &node{server: servers[i], network: relay.NewNetwork(func(netip.Addr) relay.Zone { return "" })}
@@ -163,10 +164,14 @@
 		f.nodes[name] = n
 		f.mu.Unlock()
 		f.open(n)
-		f.cleanup(func() {
-			n.network.Heal()
-			_ = n.relay.Close()
-		})
+	}
+}
+
+// closeRelays ends the relays once the databases behind them have ended, so that no new connection holds them up.
+func (f *fleet) closeRelays() {
+	for _, n := range f.nodes {
+		n.network.Heal()
+		_ = n.relay.Close()
 	}
 }
 
