--- a/bench/internal/experiment/experiment.go
+++ b/bench/internal/experiment/experiment.go
@@ -65,6 +65,10 @@
 	if err != nil {
 		return nil, err
 	}
+	// Settings files name paths relative to themselves, so a relative folder would not do.
+	if options.Out, err = filepath.Abs(options.Out); err != nil {
+		return nil, fmt.Errorf("experiment: %w", err)
+	}
 	e := &experiment{Options: options}
 	e.say("starting %d control processes, %d entries and %d databases", layout.Control, layout.Entries, layout.Services*layout.Replicas)
 	f, err := fleet.Start(ctx, layout, fleet.Options{Bin: options.Bin, Dir: filepath.Join(options.Out, "fleet"), Relays: options.Network})
@@ -139,8 +143,8 @@
 }
 
 // offer runs the load and the faults side by side.
-func (e *experiment) offer(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, e.Duration+drainTime)
+func (e *experiment) offer(parent context.Context) error {
+	ctx, cancel := context.WithTimeout(parent, e.Duration+drainTime)
 	defer cancel()
 	e.load = load.New(e.config())
 	e.load.SetKey(probeWorkspace, e.fleet.Keys[probeWorkspace].Key)
@@ -150,11 +154,14 @@
 	var faults sync.WaitGroup
 	faults.Go(func() { e.bringAbout(loadCtx) })
 	faults.Go(func() { e.showProgress(loadCtx) })
-	err := e.load.Run(loadCtx)
+	givenUp := e.load.Run(loadCtx) != nil
 	stop()
 	faults.Wait()
 	e.watchers.Wait()
-	return err
+	if givenUp && parent.Err() == nil {
+		e.run.Skipped = append(e.run.Skipped, fmt.Sprintf("requests without an answer %s after the load were given up", drainTime))
+	}
+	return parent.Err()
 }
 
 func (e *experiment) showProgress(ctx context.Context) {
--- a/entry/internal/caller/harness_test.go
+++ b/entry/internal/caller/harness_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
 
 	"lentilwind.dev/bench/database"
 	"lentilwind.dev/entry/internal/caller"
@@ -51,50 +52,36 @@
 	limits    caller.Limits
 	// forward makes entries send every transaction to a home.
 	forward bool
+	// stopHome ends the home.
+	stopHome context.CancelFunc
+	quota    caller.Quota
+	// connections is the limit of each pool.
+	connections int
 }
 
 func serverName(i int) group.Server { return group.Server(fmt.Sprintf("db-%d", i)) }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
-}
-
 func newFleet(t *testing.T, change func(*database.Config)) *fleet {
 	t.Helper()
-	f := &fleet{t: t, directory: directory.New(), secret: []byte("0123456789abcdef0123456789abcdef")}
+	f := &fleet{t: t, directory: directory.New(), secret: []byte("0123456789abcdef0123456789abcdef"), connections: 4}
 	f.limits = caller.Limits{
 		Callers: 1000, RequestBytes: 1 << 20, AnswerBytes: 64 << 10, RequestTimeout: 5 * time.Second, AnswerTimeout: 5 * time.Second,
 		ConfirmTimeout: 5 * time.Second, IdleInTransaction: time.Minute, SlowCaller: 5 * time.Second, StartupTimeout: 5 * time.Second,
 	}
-	peers := make(map[group.Server]string)
-	for i := range 3 {
-		peers[serverName(i)] = freeAddress(t)
+	cfg := database.Config{Service: testService, DataCentre: "raquira", Connections: 20, Watch: []string{testKey, otherKey}}
+	if change != nil {
+		change(&cfg)
 	}
-	for i := range 3 {
-		cfg := database.Config{
-			Service: testService, Server: serverName(i), DataCentre: "raquira", Listen: peers[serverName(i)], Connections: 20,
-			Primaries: []group.Server{serverName(0), serverName(0), serverName(0)}, Peers: peers, Watch: []string{testKey, otherKey},
-		}
-		if change != nil {
-			change(&cfg)
-		}
-		server, err := database.Start(cfg)
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { _ = server.Close() })
-		f.databases = append(f.databases, server)
+	service, err := database.StartService(cfg, serverName(0), serverName(1), serverName(2))
+	if err != nil {
+		t.Fatal(err)
 	}
+	t.Cleanup(func() { _ = service.Close() })
+	f.databases = service
 	f.inventory = newInventory()
 	f.directory.ExtendLease(time.Now().Add(time.Hour))
 	f.apply()
-	f.publish(1, serverName(0))
+	f.publish(1, serverName(0), serverName(1), serverName(2))
 	return f
 }
 
@@ -134,13 +121,13 @@
 	f.directory.Apply(&delta, nil)
 }
 
-// publish makes a server the primary of every slot.
-func (f *fleet) publish(term group.Term, primary group.Server) {
+// publish names the primary of each slot, in turn.
+func (f *fleet) publish(term group.Term, primaries ...group.Server) {
 	f.count++
 	topology := protocol.Topology{Version: protocol.TopologyVersion{LeaderTerm: 1, Count: f.count}, Full: true}
 	for slot := range group.Slot(3) {
 		topology.Groups = append(topology.Groups, group.Configuration{
-			Group: group.ID{Service: testService, Slot: slot}, Term: term, Primary: primary,
+			Group: group.ID{Service: testService, Slot: slot}, Term: term, Primary: primaries[int(slot)%len(primaries)],
 		})
 	}
 	for i, db := range f.databases {
@@ -151,6 +138,33 @@
 	f.directory.Apply(nil, &topology)
 }
 
+// askMonitor sends one statement over a monitoring connection.
+func (f *fleet) askMonitor(db int, sql string) {
+	f.t.Helper()
+	ctx := testContext(f.t)
+	conn, err := pgconn.Connect(ctx, "postgres://lentilwind-monitor@"+f.databases[db].Address()+"/"+testService+"?sslmode=disable")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer func() { _ = conn.Close(ctx) }()
+	if _, err := conn.Exec(ctx, sql).ReadAll(); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// replace makes another server the primary of slot 0, as control does.
+func (f *fleet) replace(term group.Term, primary int, followers ...int) {
+	f.t.Helper()
+	for _, db := range append(followers, primary) {
+		f.askMonitor(db, fmt.Sprintf("SELECT lentilwind_fence(0, %d)", term))
+	}
+	status, _ := f.databases[primary].Status(0)
+	f.askMonitor(primary, fmt.Sprintf("SELECT lentilwind_promote(0, %d, %d)", term, status.Received))
+	for _, db := range followers {
+		f.askMonitor(db, fmt.Sprintf("SELECT lentilwind_follow(0, %d, '%s')", term, f.databases[primary].Address()))
+	}
+}
+
 // entry is one entry of the fleet.
 type entry struct {
 	server *caller.Server
@@ -173,10 +187,10 @@
 		f.t.Fatal(err)
 	}
 	keeper := positions.New(positions.Config{Directory: f.directory, DataCentre: "raquira", Log: logs.Discard()})
-	e := &entry{pools: pool.NewSet()}
+	e := &entry{pools: pool.NewSet(netip.Addr{})}
 	f.configure(e.pools)
 	e.server = caller.NewServer(caller.Config{
-		Directory: f.directory, Positions: keeper, Executor: f.newExecutor(e.pools), Signer: signer,
+		Directory: f.directory, Positions: keeper, Executor: f.newExecutor(e.pools), Signer: signer, Quota: f.quota,
 		PlainText: []netip.Prefix{netip.MustParsePrefix("127.0.0.0/8")}, Limits: f.limits, Events: recorder, Log: logs.Discard(),
 	}, listener)
 	e.url = "postgres://%s:%s@" + listener.Addr().String() + "/" + testService + "?sslmode=disable"
@@ -206,17 +220,21 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	home, sender := f.newEndpoint(authority, "entry-2"), f.newEndpoint(authority, "entry-1")
+	home, sender := f.newEndpoint(authority, homeName), f.newEndpoint(authority, "entry-1")
 	home.HandleStream(protocol.KindTransaction, executor.NewHome(local).ServeStream)
 	return executor.NewRouter(local, executor.NewRemote(sender), homes{home.Address()})
 }
 
+const homeName = "entry-2"
+
 type homes []netip.AddrPort
 
 func (h homes) Homes(_ group.Server, dst []netip.AddrPort) ([]netip.AddrPort, bool) {
 	return append(dst, h...), false
 }
 
+func (h homes) IsHome(group.Server) bool { return false }
+
 func (f *fleet) newEndpoint(authority identity.Pair, name string) *link.Endpoint {
 	f.t.Helper()
 	signer, err := identity.LoadAuthority(authority)
@@ -246,6 +264,9 @@
 		f.t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	if name == homeName {
+		f.stopHome = cancel
+	}
 	done := make(chan error, 1)
 	go func() { done <- endpoint.Serve(ctx) }()
 	f.t.Cleanup(func() {
@@ -261,7 +282,7 @@
 	var targets []pool.Target
 	for i, db := range f.databases {
 		targets = append(targets, pool.Target{
-			Service: testService, Server: serverName(i), Address: netip.MustParseAddrPort(db.Address()), Limit: 4,
+			Service: testService, Server: serverName(i), Address: netip.MustParseAddrPort(db.Address()), Limit: f.connections,
 		})
 	}
 	pools.Configure(targets)
--- a/entry/internal/pool/pool.go
+++ b/entry/internal/pool/pool.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"lentilwind.dev/lentilwind/group"
+	"lentilwind.dev/lentilwind/inventory"
 )
 
 // ErrClosed is returned once a pool gives out no more connections.
@@ -20,6 +21,9 @@
 // maxIdleFor is how long a connection stays open without use.
 const maxIdleFor = 5 * time.Minute
 
+// warmTimeout bounds the opening of one connection ahead of need.
+const warmTimeout = 5 * time.Second
+
 // Want is what a transaction asks of a pool.
 type Want struct {
 	Scope Scope
@@ -32,6 +36,8 @@
 type Pool struct {
 	service group.Service
 	server  group.Server
+	// source is the address that connections leave from.
+	source netip.Addr
 
 	mu      sync.Mutex
 	address netip.AddrPort
@@ -39,6 +45,10 @@
 	open    int
 	closed  bool
 	idle    []*Conn
+	// active is the connections with a transaction.
+	active map[*Conn]struct{}
+	// writes counts the running write transactions.
+	writes  map[writeKey]int
 	waiting waiters
 	// answered is when the server last answered anything.
 	answered time.Time
@@ -48,20 +58,85 @@
 
 // NewPool returns an empty pool of at most limit connections.
 func NewPool(service group.Service, server group.Server, address netip.AddrPort, limit int) *Pool {
-	return &Pool{service: service, server: server, address: address, limit: limit, answered: time.Now(), waiting: newWaiters()}
+	return &Pool{service: service, server: server, address: address, limit: limit, answered: time.Now(), waiting: newWaiters(), writes: make(map[writeKey]int), active: make(map[*Conn]struct{})}
 }
 
 // Acquire returns a connection that nobody else uses, opened if need be.
 func (p *Pool) Acquire(ctx context.Context, want *Want) (*Conn, error) {
 	conn, err := p.reserve(ctx, want)
-	if err != nil || conn != nil {
-		return conn, err
+	if err == nil && conn == nil {
+		conn, err = p.dialUntil(ctx, want.Deadline)
+	}
+	if err != nil {
+		return nil, err
 	}
-	ctx, cancel := context.WithDeadline(ctx, want.Deadline)
+	p.begin(conn, want.Scope)
+	return conn, nil
+}
+
+func (p *Pool) dialUntil(ctx context.Context, deadline time.Time) (*Conn, error) {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	return p.dial(ctx)
 }
 
+// writeKey is a slot with the term under which it is written to.
+type writeKey struct {
+	slot group.Slot
+	term group.Term
+}
+
+// begin counts a transaction until its connection is released.
+func (p *Pool) begin(conn *Conn, scope Scope) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.active[conn] = struct{}{}
+	if scope.Access != inventory.AccessWrite {
+		return
+	}
+	conn.writing = writeKey{slot: scope.Slot, term: scope.Term}
+	p.writes[conn.writing]++
+}
+
+// end takes a transaction out of the count; p.mu is held.
+func (p *Pool) end(conn *Conn) {
+	delete(p.active, conn)
+	if conn == nil || conn.writing == (writeKey{}) {
+		return
+	}
+	if p.writes[conn.writing]--; p.writes[conn.writing] <= 0 {
+		delete(p.writes, conn.writing)
+	}
+	conn.writing = writeKey{}
+}
+
+// Writing calls a function for each slot and term with running write transactions.
+func (p *Pool) Writing(yield func(id group.ID, term group.Term)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for key := range p.writes {
+		yield(group.ID{Service: p.service, Slot: key.slot}, key.term)
+	}
+}
+
+// Warm opens connections ahead of need, up to n in all.
+func (p *Pool) Warm(ctx context.Context, n int) {
+	for ctx.Err() == nil {
+		p.mu.Lock()
+		if p.closed || p.open >= min(n, p.limit) {
+			p.mu.Unlock()
+			return
+		}
+		p.open++
+		p.mu.Unlock()
+		conn, err := p.dialUntil(ctx, time.Now().Add(warmTimeout))
+		if err != nil {
+			return
+		}
+		p.Release(conn, true)
+	}
+}
+
 // reserve takes an idle connection, or the right to open one when it returns neither a connection nor an error.
 func (p *Pool) reserve(ctx context.Context, want *Want) (*Conn, error) {
 	p.mu.Lock()
@@ -149,7 +224,7 @@
 	p.mu.Lock()
 	address := p.address
 	p.mu.Unlock()
-	conn, err := Dial(ctx, address, p.service)
+	conn, err := Dial(ctx, p.source, address, p.service)
 	p.observe(err == nil)
 	if err != nil {
 		p.Release(nil, false)
@@ -197,11 +272,15 @@
 
 // Release gives a connection back; one that is not reusable is closed. A nil one gives back the right to open one.
 func (p *Pool) Release(conn *Conn, reusable bool) {
-	if conn != nil && (!reusable || conn.Cancelled()) {
+	unusable := conn != nil && (!reusable || conn.Cancelled())
+	if unusable {
 		_ = conn.Close()
-		conn = nil
 	}
 	p.mu.Lock()
+	p.end(conn)
+	if unusable {
+		conn = nil
+	}
 	if p.closed && conn != nil {
 		_ = conn.Close()
 		conn = nil
@@ -254,6 +333,30 @@
 	}
 }
 
+// Hold closes connections above a limit that may not be passed, those with a transaction last.
+func (p *Pool) Hold(limit int) {
+	p.mu.Lock()
+	var surplus []*Conn
+	for len(p.idle) > 0 && p.open > limit {
+		surplus = append(surplus, p.idle[0])
+		p.idle = p.idle[1:]
+		p.open--
+	}
+	excess := p.open - limit
+	for conn := range p.active {
+		if excess <= 0 {
+			break
+		}
+		// The transaction gives the connection back once it finds it closed.
+		surplus = append(surplus, conn)
+		excess--
+	}
+	p.mu.Unlock()
+	for _, conn := range surplus {
+		_ = conn.Close()
+	}
+}
+
 // grantRoom lets waiting transactions open connections while there is room.
 func (p *Pool) grantRoom() []*waiter {
 	var granted []*waiter
--- a/entry/internal/pool/set.go
+++ b/entry/internal/pool/set.go
@@ -21,13 +21,15 @@
 
 // Set is the pools of an entry by server; it is read without locks.
 type Set struct {
+	source netip.Addr
+
 	mu    sync.Mutex
 	pools atomic.Pointer[map[group.Server]*Pool]
 }
 
-// NewSet returns an empty set.
-func NewSet() *Set {
-	s := &Set{}
+// NewSet returns an empty set; its connections leave from the given address, or from any for the zero one.
+func NewSet(source netip.Addr) *Set {
+	s := &Set{source: source}
 	s.pools.Store(&map[group.Server]*Pool{})
 	return s
 }
@@ -35,7 +37,7 @@
 // Pool returns the pool of a server, or nil.
 func (s *Set) Pool(server group.Server) *Pool { return (*s.pools.Load())[server] }
 
-// Configure makes the set hold exactly the targets; pools that are no target any more end with their transactions.
+// Configure makes the set hold exactly the targets with an address; the pools of others end with their transactions.
 func (s *Set) Configure(targets []Target) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -43,10 +45,14 @@
 	left := maps.Clone(old)
 	pools := make(map[group.Server]*Pool, len(targets))
 	for _, target := range targets {
+		if !target.Address.IsValid() {
+			continue
+		}
 		p := left[target.Server]
 		delete(left, target.Server)
 		if p == nil {
 			p = NewPool(target.Service, target.Server, target.Address, target.Limit)
+			p.source = s.source
 		} else {
 			p.Configure(target.Address, target.Limit)
 		}
--- a/entry/internal/settings/settings.go
+++ b/entry/internal/settings/settings.go
@@ -17,6 +17,8 @@
 	Name       inventory.InstanceName `json:"name"`
 	DataCentre inventory.DataCentre   `json:"dataCentre"`
 	Listen     Listen                 `json:"listen"`
+	// Advertise is the address at which other processes reach listen.peers, where it differs.
+	Advertise string `json:"advertise"`
 	// Control lists the addresses of the control processes.
 	Control  []string       `json:"control"`
 	Identity identity.Files `json:"identity"`
@@ -26,6 +28,8 @@
 	PlainTextNetworks []string `json:"plainTextNetworks"`
 	Limits            Limits   `json:"limits"`
 	Stop              Stop     `json:"stop"`
+	// Budgets tells where the entry's share of the connections to a database comes from.
+	Budgets Budgets `json:"budgets"`
 	// EventsFile gets the time line; empty writes none.
 	EventsFile string `json:"eventsFile"`
 	LogLevel   string `json:"logLevel"`
@@ -53,6 +57,17 @@
 	StartupTimeout    jsonc.Duration `json:"startupTimeout"`
 }
 
+// Budgets is a source of shares of connections.
+type Budgets string
+
+// The sources of shares.
+const (
+	// BudgetsInventory divides the connections by the entry instances of the inventory.
+	BudgetsInventory Budgets = "inventory"
+	// BudgetsLeased takes the shares that control leases by demand.
+	BudgetsLeased Budgets = "leased"
+)
+
 // Stop is the steps of a graceful stop.
 type Stop struct {
 	// UnreadyFor is the time between the first failing /readyz and the closing of idle callers.
@@ -103,6 +118,7 @@
 	setDefault(&l.StartupTimeout, jsonc.Duration(DefaultStartupTimeout))
 	setDefault(&s.Stop.UnreadyFor, jsonc.Duration(DefaultUnreadyFor))
 	setDefault(&s.Stop.Deadline, jsonc.Duration(DefaultDeadline))
+	setDefault(&s.Budgets, BudgetsInventory)
 	setDefault(&s.LogLevel, DefaultLogLevel)
 }
 
@@ -126,6 +142,9 @@
 		settings.CheckPresent("/identity/key", s.Identity.Key, "name the instance's private key"),
 		settings.CheckPresent("/sessionSecretFile", s.SessionSecretFile, "name the file with the fleet's session secret"),
 	)
+	if s.Advertise != "" {
+		problems = append(problems, settings.CheckAddress("/advertise", s.Advertise)...)
+	}
 	if len(s.Control) == 0 {
 		problems = append(problems, jsonc.Problem{
 			Pointer: "/control", Message: "no control process is listed", Remedy: "list the address of each one",
@@ -151,6 +170,11 @@
 
 func (s *Settings) checkLimits() []jsonc.Problem {
 	var problems []jsonc.Problem
+	if s.Budgets != BudgetsInventory && s.Budgets != BudgetsLeased {
+		problems = append(problems, jsonc.Problem{
+			Pointer: "/budgets", Message: fmt.Sprintf("%q is no source of budgets", s.Budgets), Remedy: `write "inventory" or "leased"`,
+		})
+	}
 	for _, limit := range []struct {
 		pointer string
 		value   int64
--- a/lentilwind/protocol/frame.go
+++ b/lentilwind/protocol/frame.go
@@ -27,10 +27,14 @@
 const (
 	// KindJournal carries one journal message between control processes; it has no reply.
 	KindJournal Kind = "journal"
+	// KindMember asks a control process which member of the journal it is.
+	KindMember Kind = "member"
 	// KindRenew asks the control leader for configuration leases and for what has changed.
 	KindRenew Kind = "renew"
 	// KindDraw asks the control leader for requests out of workspaces' quotas.
 	KindDraw Kind = "draw"
+	// KindBudget asks the control leader for connections to databases.
+	KindBudget Kind = "budget"
 	// KindAnnounce passes a backend server's announcement on to the control leader.
 	KindAnnounce Kind = "announce"
 	// KindObserve asks a pool home for the status of one of its databases.
