A leaving backend server must cut off no request either; the driver's failed tidying is no unknown outcome

And four requests met by the handover of a leaving server ended in LW002, which no checker looked at. Change: that error of the driver, which it gives before sending anything, is classed as unreached; the checker of planned stops covers departures of backend servers, save near real faults. A sample plan of planned stops, and a table test of the classes. Conclusion: the handover of a leaving server still has to be mended where it is made.

--- a/bench/checker/checker_test.go
+++ b/bench/checker/checker_test.go
@@ -142,6 +142,10 @@
 			r.Faults = []history.Fault{{Time: at(901), Done: at(990), Kind: checker.FaultStop, Target: "e1"}}
 			r.Requests[2].Outcome = history.OutcomeUnknown
 		}, promises{CutOff: 1}},
+		"a leaving server cuts a request off": {func(r *checker.Run) {
+			r.Faults = []history.Fault{{Time: at(901), Kind: checker.FaultLeave, Target: "a"}}
+			r.Requests[2].Outcome = history.OutcomeUnknown
+		}, promises{CutOff: 1}},
 		"a refusal by quota stands in the journal": {func(r *checker.Run) {
 			r.Requests[1].Outcome = history.OutcomeQuota
 			r.Databases = r.Databases[:1]
--- a/bench/checker/fault.go
+++ b/bench/checker/fault.go
@@ -2,13 +2,21 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"lentilwind.dev/bench/history"
+	"lentilwind.dev/lentilwind/group"
 )
 
-// FaultStop is a planned stop; its target is the process.
-const FaultStop history.FaultKind = "stop"
+// FaultStop is a planned stop and FaultLeave the planned departure of a backend server; the target is the process.
+const (
+	FaultStop  history.FaultKind = "stop"
+	FaultLeave history.FaultKind = "leave"
+)
+
+// planned lists the kinds that are no faults but operators' work.
+var planned = []history.FaultKind{FaultStop, FaultLeave, FaultWithdrawKey, "changeRule"}
 
 // KeyGrace is how long after its withdrawal a key may still work somewhere.
 const KeyGrace = 5 * time.Second
@@ -77,23 +85,56 @@
 	return n
 }
 
-// cutOffRequests counts requests that a planned stop of their entry left without an answer.
+// cutOffRequests counts requests that a planned stop of their entry or backend server left without an answer.
 func (j *judge) cutOffRequests() int {
 	n := 0
 	for _, f := range j.run.Faults {
-		if f.Kind != FaultStop {
+		if f.Kind != FaultStop && f.Kind != FaultLeave {
 			continue
 		}
 		for _, r := range j.requests {
-			overlaps := r.Entry == f.Target && !r.Completed.Before(f.Time) && !r.Invoked.After(f.Done)
-			if overlaps && j.cutOff(r) {
-				n += j.find("cutOffRequests", r.ID, fmt.Sprintf("ended with %q in the planned stop of %s", r.Code+r.Message, f.Target))
+			if j.touched(&f, r) && j.cutOff(r) {
+				n += j.find("cutOffRequests", r.ID, fmt.Sprintf("ended with %q in the planned stop of %s", r.Code+" "+r.Message, f.Target))
 			}
 		}
 	}
 	return n
 }
 
+// touched tells whether a request ran while what served it was being stopped.
+//
+// Requests of a leaving server's service are left out near a real fault, which may leave outcomes unknown.
+func (j *judge) touched(f *history.Fault, r *history.Request) bool {
+	if f.Kind == FaultStop {
+		return r.Entry == f.Target && overlap(r, f.Time, f.Done)
+	}
+	return r.Service == j.serviceOf(f.Target) && overlap(r, f.Time, f.Time.Add(faultWindow)) && !j.nearFault(f)
+}
+
+func overlap(r *history.Request, from, to time.Time) bool {
+	return !r.Completed.Before(from) && !r.Invoked.After(to)
+}
+
+// serviceOf returns the service of a backend server.
+func (j *judge) serviceOf(server string) group.Service {
+	for i := range j.run.Databases {
+		if o := &j.run.Databases[i]; string(o.Server) == server {
+			return o.Service
+		}
+	}
+	return ""
+}
+
+func (j *judge) nearFault(f *history.Fault) bool {
+	return slices.ContainsFunc(j.run.Faults, func(other history.Fault) bool {
+		distance := other.Time.Sub(f.Time).Abs()
+		return !slices.Contains(planned, other.Kind) && distance <= nearDistance
+	})
+}
+
+// nearDistance is how long a fault may leave its mark.
+const nearDistance = 15 * time.Second
+
 // cutOff tells whether a request was taken and then not answered.
 func (j *judge) cutOff(r *history.Request) bool {
 	return r.Outcome == history.OutcomeUnknown || r.Outcome == history.OutcomeStopped && len(j.commits[r.ID]) > 0
--- a/bench/internal/command/command_test.go
+++ b/bench/internal/command/command_test.go
@@ -24,6 +24,7 @@
 		{"check-config", "../../samples/database.jsonc"},
 		{"check-config", "--faults", "../../samples/faults.jsonc"},
 		{"check-config", "--faults", "../../samples/failovers.jsonc"},
+		{"check-config", "--faults", "../../samples/planned-stops.jsonc"},
 	} {
 		if out, err := run(args...); err != nil || !strings.Contains(out, "no faults") {
 			t.Errorf("%v: %q, %v", args, out, err)
--- a/bench/internal/experiment/plan.go
+++ b/bench/internal/experiment/plan.go
@@ -24,7 +24,7 @@
 	FaultCut          history.FaultKind = "cut"
 	FaultSilence      history.FaultKind = "silence"
 	FaultLag          history.FaultKind = "lag"
-	FaultLeave        history.FaultKind = "leave"
+	FaultLeave                          = checker.FaultLeave
 	FaultWithdrawKey                    = checker.FaultWithdrawKey
 	FaultChangeRule   history.FaultKind = "changeRule"
 )
--- a/bench/internal/load/outcome.go
+++ b/bench/internal/load/outcome.go
@@ -31,6 +31,9 @@
 	codeStopping:  history.OutcomeStopped,
 }
 
+// deallocateFailure begins the driver's error when it could not tidy up before a request, which it then did not send.
+const deallocateFailure = "failed to deallocate cached statement(s): "
+
 // classify returns the outcome of a request that was sent on an open connection.
 func classify(err error) (outcome history.Outcome, code, message string) {
 	if err == nil {
@@ -40,7 +43,7 @@
 	if errors.As(err, &refused) {
 		return classifyCode(refused), refused.Code, refused.Message
 	}
-	if pgconn.SafeToRetry(err) {
+	if pgconn.SafeToRetry(err) || strings.HasPrefix(err.Error(), deallocateFailure) {
 		return history.OutcomeUnreached, "", err.Error()
 	}
 	if errors.Is(err, pgx.ErrTxCommitRollback) {
--- /dev/null
+++ b/bench/internal/load/outcome_test.go
@@ -0,0 +1,36 @@
+package load_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"lentilwind.dev/bench/history"
+	"lentilwind.dev/bench/internal/load"
+)
+
+func TestOutcomesAreClassedByWhatMayHaveRun(t *testing.T) {
+	refused := func(code string) error { return fmt.Errorf("exec: %w", &pgconn.PgError{Severity: "ERROR", Code: code}) }
+	for _, test := range []struct {
+		err  error
+		want history.Outcome
+	}{
+		{nil, history.OutcomeOK},
+		{refused("LW001"), history.OutcomeNotRun},
+		{refused("LW002"), history.OutcomeUnknown},
+		{refused("LW003"), history.OutcomeQuota},
+		{refused("LW004"), history.OutcomeKey},
+		{refused("LW005"), history.OutcomeNoPrimary},
+		{refused("57P01"), history.OutcomeStopped},
+		{refused("57014"), history.OutcomeUnknown},
+		{refused("55P03"), history.OutcomeFailed},
+		{errors.New("unexpected EOF"), history.OutcomeUnknown},
+		{errors.New("failed to deallocate cached statement(s): conn closed"), history.OutcomeUnreached},
+	} {
+		if got, _, _ := load.Classify(test.err); got != test.want {
+			t.Errorf("%v: got %s, want %s", test.err, got, test.want)
+		}
+	}
+}
