--- a/entry/internal/command/entry.go
+++ b/entry/internal/command/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -18,6 +17,7 @@
 	"lentilwind.dev/entry/internal/caller"
 	"lentilwind.dev/entry/internal/directory"
 	"lentilwind.dev/entry/internal/executor"
+	"lentilwind.dev/entry/internal/homes"
 	"lentilwind.dev/entry/internal/membership"
 	"lentilwind.dev/entry/internal/pool"
 	"lentilwind.dev/entry/internal/positions"
@@ -50,13 +50,17 @@
 
 	endpoint   *link.Endpoint
 	directory  *directory.Directory
+	leader     *membership.Leader
 	membership *membership.Membership
 	keeper     *positions.Keeper
 	quota      *quota.Quota
 	pools      *pool.Set
-	placement  *executor.Placement
-	home       *executor.Home
-	server     *caller.Server
+	// places is the placement or the homes, whichever the settings choose; the other one is nil.
+	places    executor.Homes
+	placement *executor.Placement
+	homes     *homes.Homes
+	home      *executor.Home
+	server    *caller.Server
 
 	stopping atomic.Bool
 }
@@ -86,6 +90,10 @@
 	return e, e.listenToCallers()
 }
 
+// directEntries is the size of a fleet up to which every entry monitors every server; control monitors them too, and a server
+// allows 16 such connections.
+const directEntries = 8
+
 // connectPeers puts together what talks to the other processes.
 func (e *entry) connectPeers() error {
 	s := e.settings
@@ -102,7 +110,13 @@
 		control = append(control, netip.MustParseAddrPort(address))
 	}
 	leader := membership.NewLeader(endpoint, control)
-	e.keeper = positions.New(positions.Config{Directory: e.directory, DataCentre: s.DataCentre, Source: endpoint.Address().Addr(), Log: e.log})
+	e.leader = leader
+	e.places = e.newHomes()
+	e.keeper = positions.New(positions.Config{
+		Directory: e.directory, DataCentre: s.DataCentre, Source: endpoint.Address().Addr(), Log: e.log,
+		Homes: e.places, Peers: endpoint, DirectEntries: directEntries,
+	})
+	endpoint.Handle(protocol.KindObserve, e.keeper.ServeObserve)
 	e.membership = membership.New(membership.Config{
 		Name: s.Name, Incarnation: e.incarnation, DataCentre: s.DataCentre, Address: e.advertised(), Endpoint: endpoint,
 		Leader: leader, Directory: e.directory, Log: e.log, Events: e.events, Suspects: e.keeper.Suspects, Running: e.running,
@@ -134,10 +148,10 @@
 	}
 	local := executor.NewLocal(e.pools)
 	e.home = executor.NewHome(local)
-	e.placement = executor.NewPlacement(s.Name)
+	router := executor.NewRouter(local, executor.NewRemote(e.endpoint), e.places)
 	e.endpoint.HandleStream(protocol.KindTransaction, e.home.ServeStream)
 	e.server = caller.NewServer(caller.Config{
-		Directory: e.directory, Positions: e.keeper, Executor: executor.NewRouter(local, executor.NewRemote(e.endpoint), e.placement), Quota: e.quota, Signer: signer,
+		Directory: e.directory, Positions: e.keeper, Executor: router, Quota: e.quota, Signer: signer,
 		TLS: e.identity.ServerOnly(), PlainText: s.Prefixes(), Limits: callerLimits(&s.Limits), Events: e.events, Log: e.log,
 	}, listener)
 	e.timers.Every(trimPeriod, e.pools.Trim)
@@ -183,25 +197,3 @@
 	slices.SortFunc(running, group.ID.Compare)
 	return slices.Compact(running)
 }
-
-// followDirectory keeps the pools at the servers and limits of the newest snapshot.
-func (e *entry) followDirectory(ctx context.Context) error {
-	subscription := e.directory.Subscribe()
-	defer subscription.Close()
-	shares := executor.NewShares()
-	for {
-		targets := e.placement.Follow(e.directory.Snapshot())
-		again := shares.Apply(targets, time.Now())
-		e.pools.Configure(targets)
-		var grown <-chan time.Time
-		if again > 0 {
-			grown = time.After(again)
-		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-subscription.Changed:
-		case <-grown:
-		}
-	}
-}
