--- /dev/null
+++ b/lentilwind/confirm/confirm_test.go
@@ -0,0 +1,122 @@
+package confirm_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"lentilwind.dev/lentilwind/confirm"
+	"lentilwind.dev/lentilwind/group"
+)
+
+var epoch = time.Unix(1000, 0)
+
+// member is a member of a group whose primary writes in term 1 while others try to replace it.
+type member struct {
+	status group.Status
+	sample confirm.Sample
+}
+
+// majorities calls a function with each majority of the members, as a set of bits.
+func majorities(n int, yield func(set int)) {
+	for set := range 1 << n {
+		count := 0
+		for i := range n {
+			count += set >> i & 1
+		}
+		if count >= confirm.Majority(n) {
+			yield(set)
+		}
+	}
+}
+
+// A confirmed write is held by a member of every majority that has promised the next term.
+func TestEveryNewMajorityHoldsAConfirmedWrite(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := make([]member, rapid.SampledFrom([]int{1, 2, 3, 5}).Draw(t, "members"))
+		for i := range members {
+			members[i].status = group.Status{Term: 1, Fenced: 1}
+		}
+		written, confirmed := group.Position(0), group.Position(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			m := &members[rapid.IntRange(0, len(members)-1).Draw(t, "member")]
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				written++
+			case 1:
+				// A fenced member takes no record of the old term.
+				if m.status.Fenced == 1 {
+					m.status.Received = written
+				}
+			case 2:
+				m.status.Fenced = 2
+			case 3:
+				m.sample = confirm.Sample{Status: m.status, Start: epoch}
+			}
+			samples := make([]confirm.Sample, 0, len(members))
+			for _, m := range members {
+				samples = append(samples, m.sample)
+			}
+			for position := confirmed + 1; position <= written; position++ {
+				if confirm.Write(samples, 1, position) == confirm.Confirmed {
+					confirmed = position
+				}
+			}
+		}
+		majorities(len(members), func(set int) {
+			newest := group.Position(0)
+			for i, m := range members {
+				if set>>i&1 == 1 {
+					newest = max(newest, m.status.Received)
+				}
+			}
+			if newest < confirmed {
+				t.Fatalf("the majority %b holds %d, the write at %d is confirmed", set, newest, confirmed)
+			}
+		})
+	})
+}
+
+// A floor shows every write that was confirmed before the members were asked.
+func TestAFloorCoversWhatWasConfirmedBefore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.SampledFrom([]int{1, 3, 5}).Draw(t, "members")
+		samples := make([]confirm.Sample, n)
+		for i := range samples {
+			samples[i].Status = group.Status{Term: 1, Fenced: 1, Received: group.Position(rapid.IntRange(0, 9).Draw(t, "received"))}
+			samples[i].Start = epoch.Add(time.Duration(rapid.IntRange(-2, 2).Draw(t, "start")) * time.Second)
+		}
+		confirmed := group.Position(0)
+		for position := range group.Position(10) {
+			if confirm.Write(samples, 1, position) == confirm.Confirmed {
+				confirmed = position
+			}
+		}
+		floor, known := confirm.Floor(samples, epoch)
+		asked := 0
+		for _, s := range samples {
+			if !s.Start.Before(epoch) {
+				asked++
+			}
+		}
+		if known != (asked >= confirm.Majority(n)) {
+			t.Fatalf("known %v with %d of %d asked since", known, asked, n)
+		}
+		if known && floor.Position < confirmed {
+			t.Fatalf("floor %+v, confirmed %d", floor, confirmed)
+		}
+	})
+}
+
+func TestCurrentIsTheTimeOfAMajority(t *testing.T) {
+	at := func(seconds int, term, fenced group.Term) confirm.Sample {
+		return confirm.Sample{Start: epoch.Add(time.Duration(seconds) * time.Second), Status: group.Status{Term: term, Fenced: fenced}}
+	}
+	if got := confirm.Current([]confirm.Sample{at(3, 1, 1), at(1, 1, 1), at(2, 1, 1)}, 1); !got.Equal(epoch.Add(2 * time.Second)) {
+		t.Errorf("got %v", got)
+	}
+	if got := confirm.Current([]confirm.Sample{at(3, 1, 2), at(1, 1, 1), at(2, 2, 2)}, 1); !got.IsZero() {
+		t.Errorf("a fenced and a newer member were counted: %v", got)
+	}
+}
--- a/lentilwind/quota/compare_test.go
+++ b/lentilwind/quota/compare_test.go
@@ -1,6 +1,7 @@
 package quota_test
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -44,6 +45,31 @@
 	}
 }
 
+// BenchmarkFleetSizes reports refusals beyond those of one exact bucket, and all requests to the leader, in calm.
+func BenchmarkFleetSizes(b *testing.B) {
+	for _, entries := range []int{8, 64, 610} {
+		b.Run(strconv.Itoa(entries), func(b *testing.B) {
+			var inside, insideWrongful, draws int
+			for i := range b.N {
+				f := newFleet(uint64(i), entries, noDrift, eightWorkspaces()...)
+				f.run(4*time.Second, func() {})
+				f.requests = 0
+				f.run(4*time.Second+compareFor, shiftingLoad(f, loadFactors, f.request))
+				draws += f.requests
+				f.run(f.now+time.Second, func() {})
+				for i, w := range f.workspaces {
+					if loadFactors[i] < 1 {
+						inside += w.sent
+						insideWrongful += w.wrongful()
+					}
+				}
+			}
+			b.ReportMetric(100*float64(insideWrongful)/float64(inside), "%wrongfulInside")
+			b.ReportMetric(float64(draws)/float64(b.N)/compareFor.Seconds(), "draws/s")
+		})
+	}
+}
+
 // equalSplit gives each entry a fixed part of each workspace's bucket.
 func equalSplit(f *fleet) func(workspace, entry int) {
 	type bucket struct {
