A quick reply is not taken for a failed call

Change: the caller ignores the close and lets the answer decide. Conclusion: fewer false errors on every link between processes.

--- a/instance/link/connection.go
+++ b/instance/link/connection.go
@@ -101,9 +101,8 @@
 	defer stream.Reset()
 	stop := context.AfterFunc(ctx, stream.Reset)
 	defer stop()
-	if err := stream.Close(); err != nil {
-		return fmt.Errorf("link: %w", err)
-	}
+	// The other end may answer, and stop reading, before this end is closed; only the answer counts.
+	_ = stream.Close()
 	frame, err := protocol.ReadFrame(stream)
 	if err != nil {
 		return fmt.Errorf("link: reply from %s: %w", to, errors.Join(err, ctx.Err()))
--- a/instance/link/link_test.go
+++ b/instance/link/link_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"lentilwind.dev/instance/identity"
 	"lentilwind.dev/instance/link"
 	"lentilwind.dev/instance/logs"
@@ -122,3 +124,29 @@
 		t.Error("the call succeeded")
 	}
 }
+
+func TestQuickRepliesAreNeverTakenForFailures(t *testing.T) {
+	authority := newAuthority(t)
+	server, client := newEndpoint(t, authority, "server"), newEndpoint(t, authority, "client")
+	server.Handle(protocol.KindDraw, func(context.Context, identity.Peer, protocol.Frame) (any, error) {
+		return protocol.DrawReply{}, nil
+	})
+	serve(t, server)
+	serve(t, client)
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	var g errgroup.Group
+	for range 16 {
+		g.Go(func() error {
+			for range 500 {
+				if err := client.Call(ctx, server.Address(), protocol.KindDraw, protocol.DrawRequest{}, &protocol.DrawReply{}); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+	}
+	if err := g.Wait(); err != nil {
+		t.Error(err)
+	}
+}
