--- a/lentilwind/quota/settings.go
+++ b/lentilwind/quota/settings.go
@@ -25,7 +25,7 @@
 }
 
 // MaxDrift is the most by which two monotonic clocks differ, as a fraction of the elapsed time.
-const MaxDrift = 0.05
+const MaxDrift = 0.1
 
 // Limits are a workspace's quota over the whole fleet.
 type Limits struct {
