--- a/lentilwind/placement/placement_test.go
+++ b/lentilwind/placement/placement_test.go
@@ -236,3 +236,57 @@
 		t.Errorf("%d homes for two connections", len(got))
 	}
 }
+
+func TestALoweredLimitHoldsOnceConnectionsAreIdle(t *testing.T) {
+	w := newWorld(6, faults{}, "")
+	w.settle(t, 10*time.Second)
+	lowered := slices.Clone(w.databases)
+	lowered[0].Connections = connections / 2
+	w.leader.SetDatabases(lowered)
+	w.settle(t, 10*time.Second)
+	if got := w.budgets(0); sum(got) != connections/2 || slices.Min(got) < 1 {
+		t.Errorf("after the limit was lowered: %v", got)
+	}
+}
+
+// A database that leaves the inventory and comes back has still the connections that were leased before.
+func TestADatabaseThatComesBackIsNotGrantedTwice(t *testing.T) {
+	w := newWorld(7, faults{}, "")
+	w.settle(t, 10*time.Second)
+	for _, e := range w.lives {
+		e.cutUntil = w.now + time.Minute
+	}
+	w.leader.SetDatabases(w.databases[1:])
+	w.leader.Forget(w.leaderClock())
+	w.settle(t, time.Second)
+	w.leader.SetDatabases(w.databases)
+	// Other entries take the places of the homes, which still hold their leases.
+	before := w.homesOf(0)
+	w.names = slices.DeleteFunc(w.names, func(e placement.Entry) bool { return slices.Contains(before, e.Name) })
+	for i := range 2 {
+		name := inventory.InstanceName(fmt.Sprintf("new-%d", i))
+		w.names = append(w.names, placement.Entry{Name: name, DataCentre: "raquira", Region: "andina"})
+		w.startLife(name)
+	}
+	w.leader.SetEntries(w.names)
+	w.settle(t, 5*time.Second)
+	if got := sum(w.budgets(0)); got != 0 {
+		t.Errorf("%d connections were granted beside those that were leased before", got)
+	}
+	w.settle(t, 2*time.Minute)
+	if got := sum(w.budgets(0)); got != connections {
+		t.Errorf("after the leases: %d connections", got)
+	}
+}
+
+func TestARequestIsAnsweredOnce(t *testing.T) {
+	w := newWorld(8, faults{}, "")
+	keeper := placement.NewKeeper(w.settings, "entry-0", 99)
+	request := keeper.Request(origin, nil)
+	if _, answered := w.leader.Handle(origin, &request); !answered {
+		t.Error("a first request was not answered")
+	}
+	if _, answered := w.leader.Handle(origin, &request); answered {
+		t.Error("a request was answered twice")
+	}
+}
