Positions: only entries are answered; budgets are given back also after the stop's deadline

Cause: any certificate of the fleet could ask for positions, and a release with an ended context never reached the leader.

--- a/entry/internal/homes/homes.go
+++ b/entry/internal/homes/homes.go
@@ -144,7 +144,7 @@
 	}
 }
 
-// Release gives back every budget; the entry must have closed its connections before.
+// Release gives back every budget, also when the context has ended; the entry must have closed its connections before.
 func (h *Homes) Release(ctx context.Context) {
 	h.mu.Lock()
 	request := h.keeper.Request(time.Now(), nil)
@@ -152,7 +152,7 @@
 	if h.publish(time.Now()) {
 		h.cfg.Apply(h)
 	}
-	h.ask(ctx, &request)
+	h.ask(context.WithoutCancel(ctx), &request)
 }
 
 // ask sends a request and takes in the reply.
--- a/entry/internal/positions/homes_test.go
+++ b/entry/internal/positions/homes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/netip"
 	"sync/atomic"
@@ -299,3 +300,14 @@
 		})
 	}
 }
+
+func TestOnlyEntriesAreAnswered(t *testing.T) {
+	w := newWorld(t, 1)
+	stranger := w.links.Endpoint("operator", identity.RoleOperator)
+	w.links.Serve(stranger)
+	var refusal *protocol.Refusal
+	err := stranger.Call(w.context(), w.addresses[0], protocol.KindObserve, &protocol.ObserveRequest{}, &protocol.ObserveReply{})
+	if !errors.As(err, &refusal) || refusal.Code != protocol.CodeNotPermitted {
+		t.Errorf("got %v", err)
+	}
+}
--- a/entry/internal/positions/serve.go
+++ b/entry/internal/positions/serve.go
@@ -48,8 +48,11 @@
 }
 
 // ServeObserve answers another entry about the servers that this one monitors.
-func (k *Keeper) ServeObserve(ctx context.Context, _ identity.Peer, frame protocol.Frame) (any, error) {
+func (k *Keeper) ServeObserve(ctx context.Context, peer identity.Peer, frame protocol.Frame) (any, error) {
 	received := time.Now()
+	if peer.Role != identity.RoleEntry {
+		return nil, &protocol.Refusal{Code: protocol.CodeNotPermitted, Message: "only entries ask for positions"}
+	}
 	var request protocol.ObserveRequest
 	if err := protocol.Decode(frame.Body, &request); err != nil {
 		return nil, &protocol.Refusal{Code: protocol.CodeInvalid, Message: err.Error()}
