Answers of writes in ended terms are given up

Cause: a caller whose write had been sent to a paused primary waited until its own timeout, 15 s in the test. Change: once a newer term of the group is known, such waits end: at once when the server is silent, else after 4 s, which is more than a planned handover gives. Relays stand before the pages of instances too, so that a cut also stops announcements.

--- a/bench/fleet/addresses.go
+++ b/bench/fleet/addresses.go
@@ -19,6 +19,7 @@
 	privatePeerPort     = 7001
 	operatorsPort       = 7100
 	httpPort            = 7200
+	privateHTTPPort     = 7201
 	databasePort        = 5432
 	privateDatabasePort = 5433
 	databaseControlPort = 5436
@@ -29,6 +30,7 @@
 	entryHostOffset     = 10
 	controlHostOffset   = 100
 	databaseHostOffset  = 150
+	blockOctet          = 1
 	zoneOctet           = 2
 	clientsZoneName     = "clients"
 )
@@ -61,8 +63,10 @@
 // zoneOf names the data centre of an address of the block.
 func (b *block) zoneOf(names []inventory.DataCentre) func(netip.Addr) relay.Zone {
 	return func(a netip.Addr) relay.Zone {
-		dataCentre := int(a.As4()[zoneOctet])
-		if dataCentre < len(names) {
+		if !a.Is4() || a.As4()[blockOctet] != b.octet {
+			return clientsZoneName
+		}
+		if dataCentre := int(a.As4()[zoneOctet]); dataCentre < len(names) {
 			return relay.Zone(names[dataCentre])
 		}
 		return clientsZoneName
--- a/bench/fleet/files.go
+++ b/bench/fleet/files.go
@@ -120,6 +120,12 @@
 	}
 	private := f.block.address(m.dataCentre, host, privatePeerPort)
 	p.Listen = &plannedListen{Peer: private.String()}
+	p.HTTP = f.block.address(m.dataCentre, host, privateHTTPPort).String()
+	pages, err := relay.ListenTCP(f.Network, instance.HTTP, netip.MustParseAddrPort(p.HTTP))
+	if err != nil {
+		return planned{}, err
+	}
+	f.relays = append(f.relays, pages)
 	r, err := relay.ListenUDP(f.Network, f.block.address(m.dataCentre, host, peerPort), private)
 	if err != nil {
 		return planned{}, err
--- a/entry/internal/command/entry.go
+++ b/entry/internal/command/entry.go
@@ -155,10 +155,32 @@
 		TLS: e.identity.ServerOnly(), PlainText: s.Prefixes(), Limits: callerLimits(&s.Limits), Events: e.events, Log: e.log,
 	}, listener)
 	e.timers.Every(trimPeriod, e.pools.Trim)
+	e.timers.Every(abandonPeriod, func(now time.Time) { e.pools.Abandon(now, endedTerms{e.directory.Snapshot()}) })
 	return errors.Join(e.server.Register(e.metrics.Meter), e.registerPools())
 }
 
-const trimPeriod = 10 * time.Second
+// Periods of the entry's own timers.
+const (
+	trimPeriod    = 10 * time.Second
+	abandonPeriod = 100 * time.Millisecond
+)
+
+// endedTerms tells from a snapshot which terms and servers are over.
+type endedTerms struct {
+	snapshot *directory.Snapshot
+}
+
+// TermEnded tells that a newer term of the group has begun.
+func (e endedTerms) TermEnded(id group.ID, term group.Term) bool {
+	configuration, found := e.snapshot.Group(id)
+	return found && configuration.Term > term
+}
+
+// ServerLost tells that control hears nothing from the server.
+func (e endedTerms) ServerLost(name group.Server) bool {
+	server := e.snapshot.Server(name)
+	return server == nil || server.Health == protocol.HealthSilent
+}
 
 func callerLimits(l *settings.Limits) caller.Limits {
 	return caller.Limits{
--- a/entry/internal/pool/conn.go
+++ b/entry/internal/pool/conn.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -58,6 +59,8 @@
 
 	// writing is what the pool counts the connection's transaction as; zero for reads.
 	writing writeKey
+	// abandoned connections give no more answers.
+	abandoned atomic.Bool
 
 	processID uint32
 	secretKey []byte
--- a/entry/internal/pool/pool.go
+++ b/entry/internal/pool/pool.go
@@ -51,13 +51,15 @@
 	// active is the connections with a transaction.
 	active map[*Conn]struct{}
 	// writes counts the running write transactions.
-	writes  map[writeKey]int
+	writes map[writeKey]int
+	// endedAt is when the term of running writes was first seen to have ended.
+	endedAt map[writeKey]time.Time
 	waiting waiters
 }
 
 // NewPool returns an empty pool of at most limit connections.
 func NewPool(service group.Service, server group.Server, address netip.AddrPort, limit int) *Pool {
-	return &Pool{service: service, server: server, address: address, limit: limit, waiting: newWaiters(), writes: make(map[writeKey]int), active: make(map[*Conn]struct{})}
+	return &Pool{service: service, server: server, address: address, limit: limit, waiting: newWaiters(), writes: make(map[writeKey]int), endedAt: make(map[writeKey]time.Time), active: make(map[*Conn]struct{})}
 }
 
 // Acquire returns a connection that nobody else uses, opened if need be.
--- a/tests/failover_test.go
+++ b/tests/failover_test.go
@@ -42,7 +42,11 @@
 		return false
 	}
 	defer func() { _ = conn.Close(w.t.Context()) }()
+	begun := time.Now()
 	err = insert(w.t.Context(), conn, id, w.key)
+	if err != nil {
+		w.t.Logf("%s through %s after %v: %v", id, w.f.Entries[entry].Name(), time.Since(begun).Round(time.Millisecond), err)
+	}
 	switch {
 	case err == nil:
 		w.acknowledged = append(w.acknowledged, id)
--- a/tests/helper_test.go
+++ b/tests/helper_test.go
@@ -61,7 +61,7 @@
 		if err := f.Close(); err != nil {
 			t.Logf("closing the fleet: %v", err)
 		}
-		if t.Failed() {
+		if t.Failed() || os.Getenv("LENTILWIND_KEEP") != "" {
 			t.Logf("the fleet's files are in %s", dir)
 			return
 		}
