A block on a replica ends with its staleness

Cause: a block that a simple query or a pipeline opened could stay on a replica, which reports no age inside it. Change: batches with a BEGIN go to the primary; a block that is on a replica nevertheless is refused once what it showed at first would be older than the route allows. Conclusion: tested with a query that holds BEGIN and a read.

--- a/entry/internal/caller/choose.go
+++ b/entry/internal/caller/choose.go
@@ -96,7 +96,7 @@
 
 // decide lets only single statements run on replicas, whose staleness is known before each of them.
 func (c *caller) decide(t *ticket, request *route.Request, now time.Time) route.Choice {
-	if t.primary || t.begin != "" {
+	if t.primary || t.begin != "" || c.buffers.request.Begins {
 		return route.Choose(route.PrimaryOnly{}, &t.view, request, now)
 	}
 	return route.Choose(route.DefaultPolicy, &t.view, request, now)
--- a/entry/internal/caller/exchange.go
+++ b/entry/internal/caller/exchange.go
@@ -254,6 +254,7 @@
 	if x.ticket.reads() {
 		if failure := x.check(); failure != nil {
 			x.close()
+			c.failed = x.inBlock && x.block != 0
 			return x.cut(failure)
 		}
 	}
@@ -267,12 +268,25 @@
 	if c.tx == nil {
 		c.tx = &block{tx: x.tx, ticket: *x.ticket, where: *x.where}
 		c.tx.ticket.view = route.View{}
+		x.boundReplica(&c.tx.where)
 	}
 	c.tx.wrote = x.wrote
 	c.tx.implicit = x.ready == 0
 	return c.write(c.buffers.answer), nil
 }
 
+// boundReplica ends the use of a replica inside a block at the time when what it showed at first is too old, since it reports no
+// age there.
+func (x *exchange) boundReplica(where *target) {
+	if !where.replica {
+		return
+	}
+	limit := x.position.Sent.Add(where.opening.MaxStaleness - x.position.Status.Age)
+	if limit.Before(where.until) {
+		where.until = limit
+	}
+}
+
 func (x *exchange) count() {
 	counters := &x.caller.server.Counters
 	switch {
--- a/entry/internal/caller/refusal_test.go
+++ b/entry/internal/caller/refusal_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
 
 	"lentilwind.dev/bench/database"
 	"lentilwind.dev/bench/history"
@@ -227,6 +228,42 @@
 	wantState(t, tx.Commit(ctx), "LW002")
 }
 
+func TestBlockOnAReplicaEndsWithItsStaleness(t *testing.T) {
+	f := newFleet(t, nil)
+	f.inventory.Routes[0].MaxStaleness = jsonc.Duration(300 * time.Millisecond)
+	f.apply()
+	e := f.newEntry()
+	ctx := testContext(t)
+	if _, err := e.connect(t, "").Exec(ctx, insertOrder, "a", 1); err != nil {
+		t.Fatal(err)
+	}
+	c := e.newFrontend(t)
+	read := &pgproto3.Query{String: "/*route='lookup'*/ BEGIN; SELECT value FROM stock WHERE key = 'a'"}
+	f.await(ctx, func() bool {
+		c.exchange(0, read)
+		onReplica := e.server.Counters.PrimaryReads.Load() == 0 && f.replicaSaw("SELECT value")
+		if !onReplica {
+			c.exchange(0, &pgproto3.Query{String: "ROLLBACK"})
+		}
+		return onReplica
+	})
+	begun := time.Now()
+	f.await(ctx, func() bool { return time.Since(begun) > 310*time.Millisecond })
+	c.want("after the staleness", c.exchange(0, &pgproto3.Query{String: "SELECT value FROM stock WHERE key = 'a'"}), "LW001", "ready E")
+}
+
+// replicaSaw tells whether a replica of slot 0 was sent a statement.
+func (f *fleet) replicaSaw(text string) bool {
+	for _, db := range f.databases[1:] {
+		for _, o := range db.Record() {
+			if o.Kind == history.DatabaseStatement && strings.Contains(o.Statement, text) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func TestReadsAreNeverStalerThanTheirRouteAllows(t *testing.T) {
 	f := newFleet(t, nil)
 	f.inventory.Routes[0].MaxStaleness = jsonc.Duration(200 * time.Millisecond)
--- a/entry/internal/relay/request.go
+++ b/entry/internal/relay/request.go
@@ -34,6 +34,8 @@
 	NeedsDatabase bool
 	// OnlyBegin tells that the request is one plain BEGIN; First is its text.
 	OnlyBegin bool
+	// Begins tells that the request holds a plain BEGIN.
+	Begins bool
 	// Ends tells that the request ends with Query or Sync rather than Flush.
 	Ends bool
 
@@ -127,6 +129,7 @@
 	r.Simple, r.Executes, r.NeedsDatabase, r.Ends = true, true, true, true
 	r.First = text
 	r.OnlyBegin = IsBegin(text)
+	r.Begins = r.OnlyBegin
 	r.append(KindQuery, body)
 	return nil
 }
@@ -135,6 +138,7 @@
 func (r *Request) note(text []byte) {
 	r.NeedsDatabase = true
 	begin := IsBegin(text)
+	r.Begins = r.Begins || begin
 	switch {
 	case r.First == nil:
 		r.First, r.begun, r.OnlyBegin = text, begin, begin
