The lease's margin for clock drift is tested at its bound; a build that cannot read what was accepted stops

Cause: random schedules did not bring out a lease that lasts too long; a member of an older build could have applied an accepted document differently. Change: a test at the bound of drift with a deliberate fault; a process stops that cannot read an accepted document.

--- a/control/internal/replica/effects.go
+++ b/control/internal/replica/effects.go
@@ -87,6 +87,9 @@
 	}
 	before := r.state.Load()
 	after, result := before.Apply(entry.Index, command)
+	if result.Outcome == catalog.OutcomeUnreadable {
+		return fmt.Errorf("replica: this build cannot read entry %d, which another one accepted; upgrade it: %s", entry.Index, result.Message)
+	}
 	r.state.Store(after)
 	if after.Revision() != before.Revision() {
 		r.cfg.Events.Record(events.Event{
--- a/lentilwind/catalog/command.go
+++ b/lentilwind/catalog/command.go
@@ -50,6 +50,8 @@
 	OutcomeConflict Outcome = "conflict"
 	// OutcomeInvalid means that the command can never be accepted.
 	OutcomeInvalid Outcome = "invalid"
+	// OutcomeUnreadable means that this build refuses what another one has accepted; the process must not go on.
+	OutcomeUnreadable Outcome = "unreadable"
 )
 
 // Result is what a command led to; it is the same on every replica.
--- a/lentilwind/catalog/inventory.go
+++ b/lentilwind/catalog/inventory.go
@@ -49,7 +49,7 @@
 	}
 	parsed, err := inventory.Read([]byte(command.Document))
 	if err != nil {
-		return Result{Outcome: OutcomeInvalid, Message: err.Error()}
+		return Result{Outcome: OutcomeUnreadable, Message: err.Error()}
 	}
 	record := protocol.InventoryRecord{
 		Revision:  command.Base + 1,
--- a/lentilwind/journal/export_test.go
+++ b/lentilwind/journal/export_test.go
@@ -6,6 +6,9 @@
 	string(faultOldTermCounted), string(faultDisloyalVoter), string(faultForgetfulVoter),
 }
 
+// LongLease is a deliberate defect that only drifting clocks bring out.
+const LongLease = string(faultLongLease)
+
 // WithFault returns a configuration with a deliberate defect; an empty one sets none.
 func WithFault(cfg Config, name string) Config {
 	cfg.fault = fault(name)
--- a/lentilwind/journal/fault.go
+++ b/lentilwind/journal/fault.go
@@ -18,6 +18,8 @@
 	faultDisloyalVoter fault = "disloyalVoter"
 	// faultForgetfulVoter votes at once after a restart.
 	faultForgetfulVoter fault = "forgetfulVoter"
+	// faultLongLease counts the drift of clocks in favour of the leader's lease.
+	faultLongLease fault = "longLease"
 )
 
 func sendFirst(effects []Effect) []Effect {
--- a/lentilwind/journal/leader.go
+++ b/lentilwind/journal/leader.go
@@ -255,6 +255,9 @@
 }
 
 func (m *Machine) leaseLength() time.Duration {
+	if m.cfg.fault == faultLongLease {
+		return m.cfg.Election * (100 + DriftPercent) / 100
+	}
 	return m.cfg.Election * (100 - DriftPercent) / 100
 }
 
--- /dev/null
+++ b/lentilwind/journal/lease_test.go
@@ -0,0 +1,73 @@
+package journal_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"lentilwind.dev/lentilwind/journal"
+)
+
+// supportsAnother lets a leader get its lease from a voter whose clock is faster by a rate, and tells whether that voter supports
+// another candidate at the last moment of the lease.
+func supportsAnother(t *testing.T, fault string, rate float64) bool {
+	t.Helper()
+	membership := journal.Membership{Members: []journal.Member{{ID: 1}, {ID: 2}, {ID: 3}}}
+	elapsed := time.Duration(0)
+	now := map[journal.MemberID]func() time.Time{
+		1: func() time.Time { return time.Unix(0, 0).Add(elapsed) },
+		2: func() time.Time { return time.Unix(0, 0).Add(time.Duration(float64(elapsed) * rate)) },
+	}
+	machines := map[journal.MemberID]*journal.Machine{}
+	for id := range now {
+		cfg := journal.Config{ID: id, Heartbeat: heartbeat, Election: election, Random: rand.New(rand.NewPCG(1, uint64(id)))}
+		start := journal.Persisted{Snapshot: journal.Snapshot{Index: 1, Term: 1, Membership: membership}}
+		machines[id] = journal.New(journal.WithFault(cfg, fault), start, now[id]())
+	}
+	var deliver func(effects []journal.Effect)
+	deliver = func(effects []journal.Effect) {
+		for _, effect := range effects {
+			if send, isSend := effect.(journal.Send); isSend && machines[send.Message.To] != nil {
+				to := send.Message.To
+				deliver(machines[to].Step(now[to](), send.Message))
+			}
+		}
+	}
+	for {
+		elapsed += time.Millisecond
+		if elapsed > time.Minute {
+			t.Fatal("no lease within a minute")
+		}
+		until, held := machines[1].Lease(now[1]())
+		if held {
+			elapsed = until.Sub(time.Unix(0, 0)) - 1
+			break
+		}
+		deliver(machines[1].Tick(now[1]()))
+	}
+	asks := journal.Message{
+		Type: journal.MessagePreVote, From: 3, To: 2, Term: machines[2].Term() + 1,
+		Index: machines[1].Last() + 1, LogTerm: machines[2].Term(),
+	}
+	for _, effect := range machines[2].Step(now[2](), asks) {
+		if send, isSend := effect.(journal.Send); isSend && !send.Message.Reject {
+			return true
+		}
+	}
+	return false
+}
+
+func TestLeaseEndsBeforeLoyaltyWithinTheDriftBound(t *testing.T) {
+	fastest := 1 + float64(journal.DriftPercent)/100
+	for _, rate := range []float64{1 / fastest, 1, fastest} {
+		if supportsAnother(t, "", rate) {
+			t.Errorf("a voter with a clock %.2f times as fast supports another candidate under a valid lease", rate)
+		}
+	}
+	if !supportsAnother(t, journal.LongLease, fastest) {
+		t.Error("a lease that is too long was not found")
+	}
+	if !supportsAnother(t, "", 1.2) {
+		t.Error("a clock beyond the drift bound makes no difference")
+	}
+}
