Reads take turns between replicas and the primary while servers are out of reach

Cause: after a server was killed, reads went on asking it for up to a second, until it counted as silent. Change: a read that reached no server tries the other kind at once, and pauses only after both. Conclusion: the new test fails without the change.

--- a/entry/internal/caller/refusal_test.go
+++ b/entry/internal/caller/refusal_test.go
@@ -228,6 +228,33 @@
 	wantState(t, tx.Commit(ctx), "LW002")
 }
 
+func TestReadsDoNotWaitForDeadReplicas(t *testing.T) {
+	f := newFleet(t, nil)
+	f.inventory.Routes[0].MaxStaleness = jsonc.Duration(patience)
+	f.apply()
+	f.limits.RequestTimeout = 2 * time.Second
+	e := f.newEntry()
+	ctx := testContext(t)
+	conn := e.connect(t, "")
+	if _, err := conn.Exec(ctx, insertOrder, "a", 1); err != nil {
+		t.Fatal(err)
+	}
+	var value int
+	if err := conn.QueryRow(ctx, readLookup, "a").Scan(&value); err != nil {
+		t.Fatal(err)
+	}
+	for _, db := range f.databases[1:] {
+		if err := db.Crash(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for range 5 {
+		if err := conn.QueryRow(ctx, readLookup, "a").Scan(&value); err != nil || value != 1 {
+			t.Fatalf("got %d, %v", value, err)
+		}
+	}
+}
+
 func TestBlockOnAReplicaEndsWithItsStaleness(t *testing.T) {
 	f := newFleet(t, nil)
 	f.inventory.Routes[0].MaxStaleness = jsonc.Duration(300 * time.Millisecond)
--- a/entry/internal/caller/run.go
+++ b/entry/internal/caller/run.go
@@ -42,14 +42,14 @@
 	case outcome.ReasonRefusedBefore:
 	case outcome.ReasonConnect, outcome.ReasonHome, outcome.ReasonNoServer:
 		t.tried = group.Configuration{}
-		if !c.pause(t, t.backOff()) {
+		if !c.elsewhere(t) && !c.pause(t, t.backOff()) {
 			return false
 		}
 	case outcome.ReasonAnswerLost, outcome.ReasonAnswerTime, outcome.ReasonNotConfirmed:
 		if !t.reads() && !t.rule.Repeatable {
 			return false
 		}
-		t.primary = t.primary || t.reads()
+		c.elsewhere(t)
 	default:
 		return false
 	}
@@ -61,6 +61,15 @@
 	return t.retried
 }
 
+// elsewhere lets a read take turns between replicas and the primary, and reports whether the other kind is still to be tried.
+func (c *caller) elsewhere(t *ticket) bool {
+	if !t.reads() {
+		return false
+	}
+	t.primary = !t.primary
+	return t.primary
+}
+
 const maxBackOff = 250 * time.Millisecond
 
 // backOff returns the pause before the next attempt to reach a database; it doubles each time.
