A process that begins no fleet says so once

Cause: an emptied member with the lowest name wrote a warning three times a second until it was replaced. Change: it warns once. Conclusion: the log of a waiting process stays short.

--- a/control/internal/replica/fleet.go
+++ b/control/internal/replica/fleet.go
@@ -97,7 +97,7 @@
 			return false
 		}
 		if !reply.Fresh || !slices.Equal(reply.Listed, r.cfg.Settings.Members) {
-			r.cfg.Log.Warn().Str("member", string(member.Name)).Msg("a listed member is in use or lists other members; waiting to be added")
+			r.warnOnce(member)
 			return false
 		}
 		first.Members = append(first.Members, journal.Member{
@@ -107,6 +107,15 @@
 	return r.found(ctx, first) == nil
 }
 
+func (r *Replica) warnOnce(member settings.Member) {
+	if r.warned {
+		return
+	}
+	r.warned = true
+	r.cfg.Log.Warn().Str("member", string(member.Name)).
+		Msg("a listed member is in use or lists other members; this process begins no fleet and waits to be added")
+}
+
 // greet asks one member which one it is.
 func (r *Replica) greet(ctx context.Context, member settings.Member) (helloReply, error) {
 	if member.Name == r.cfg.Settings.Name {
--- a/control/internal/replica/replica.go
+++ b/control/internal/replica/replica.go
@@ -61,6 +61,9 @@
 	// broken stops the process: what is on the disk is not known any more.
 	broken error
 
+	// warned belongs to beginFleet.
+	warned bool
+
 	state   atomic.Pointer[catalog.State]
 	view    atomic.Pointer[view]
 	changed notifier
