--- a/control/internal/command/command_test.go
+++ b/control/internal/command/command_test.go
@@ -1,8 +1,10 @@
 package command_test
 
 import (
+	"context"
 	"errors"
 	"net/http"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -115,3 +117,26 @@
 		t.Errorf("got %+v, %v", answer, err)
 	}
 }
+
+func TestEntryDrawsItsQuotaFromTheLeader(t *testing.T) {
+	f := newFleet(t, 1)
+	f.start(1)
+	f.mustApply("a", 0, 9)
+	entry := f.endpoint("entry-1")
+	draw := func(name inventory.InstanceName) (protocol.DrawReply, error) {
+		var reply protocol.DrawReply
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		err := entry.Call(ctx, netip.MustParseAddrPort(f.address(1, 7101)), protocol.KindDraw, protocol.DrawRequest{
+			Entry: name, Draws: []protocol.Draw{{Workspace: "w1", Want: 1, Need: 1}},
+		}, &reply)
+		return reply, err
+	}
+	f.await("a grant", func() bool {
+		reply, err := draw("entry-1")
+		return err == nil && len(reply.Grants) == 1 && reply.Grants[0].Granted == 1
+	})
+	if _, err := draw("entry-2"); err == nil {
+		t.Error("an entry could draw for another one")
+	}
+}
--- a/control/internal/command/faults_test.go
+++ b/control/internal/command/faults_test.go
@@ -252,6 +252,10 @@
 	if diff := cmp.Diff(document(2), record.Document); diff != "" {
 		t.Error(diff)
 	}
+	if record.Revision <= 3 {
+		t.Errorf("revision %d was given out before to another document", record.Revision)
+	}
+	f.mustApply("after", record.Revision, 4)
 }
 
 func execute(t *testing.T, args ...string) int {
--- a/control/internal/replica/restore.go
+++ b/control/internal/replica/restore.go
@@ -10,14 +10,20 @@
 	"lentilwind.dev/lentilwind/journal"
 )
 
+// Steps by which a restored state passes what may have been given out after it was saved.
+const (
+	skippedRevisions = 1_000_000
+	skippedTerms     = 1_000_000
+)
+
 // Restore fills an empty data folder with a snapshot, of which this process becomes the only member.
 func Restore(s *settings.Settings, file string, data []byte) (journal.Snapshot, error) {
 	snapshot, err := storage.DecodeSnapshot(file, data)
 	if err != nil {
 		return snapshot, err
 	}
-	if _, err := catalog.Restore(snapshot.Data); err != nil {
-		return snapshot, fmt.Errorf("replica: %w", err)
+	if snapshot.Data, err = skip(snapshot.Data); err != nil {
+		return snapshot, err
 	}
 	store, persisted, err := storage.Open(s.DataFolder, s.Name)
 	if err != nil {
@@ -30,6 +36,19 @@
 	snapshot.Membership = journal.Membership{Members: []journal.Member{{
 		ID: self, Name: s.Name, Address: s.PeersAddress(), Operators: s.OperatorsAddress(),
 	}}}
-	store.Save(journal.Save{HardState: journal.HardState{Term: snapshot.Term, Vote: self}})
+	store.Save(journal.Save{HardState: journal.HardState{Term: snapshot.Term + skippedTerms, Vote: self}})
 	return snapshot, errors.Join(store.SaveSnapshot(journal.SaveSnapshot{Snapshot: snapshot}), store.Close())
 }
+
+// skip moves a saved state past the revisions that may have been accepted after it.
+func skip(data []byte) ([]byte, error) {
+	state, err := catalog.Restore(data)
+	if err != nil {
+		return nil, fmt.Errorf("replica: %w", err)
+	}
+	data, err = state.Skip(skippedRevisions).Snapshot()
+	if err != nil {
+		return nil, fmt.Errorf("replica: %w", err)
+	}
+	return data, nil
+}
--- a/lentilwind/catalog/inventory.go
+++ b/lentilwind/catalog/inventory.go
@@ -81,6 +81,19 @@
 	return result
 }
 
+// Skip returns a state that holds the accepted inventory under a number higher by a step, so that numbers which were given out
+// after this state was saved are not given out again.
+func (s *State) Skip(step inventory.Revision) *State {
+	if len(s.records) == 0 {
+		return s
+	}
+	next := *s
+	record := s.records[len(s.records)-1]
+	record.Revision += step
+	next.records = trimDocuments(appendRecord(s.records, record))
+	return &next
+}
+
 // appendRecord copies the records, because earlier versions of the state share them.
 func appendRecord(records []protocol.InventoryRecord, record protocol.InventoryRecord) []protocol.InventoryRecord {
 	first := max(0, len(records)+1-maxRecords)
