Changes of databases are checked before an inventory is proposed

Two databases that were exchanged in one inventory could leave no member with an acknowledged write, and nothing asked. Control now refuses with 422 and a problem for each service: while the base is not in force everywhere (it waits 2 s for that), when more than one database comes or goes, and when no majority has caught up. Resends of accepted changes and changes of anything else pass as before.

--- a/control/internal/command/process.go
+++ b/control/internal/command/process.go
@@ -146,7 +146,7 @@
 	}
 	p.operators = &http.Server{
 		Handler: operator.NewHandler(operator.Config{
-			Replica: p.replica, Leases: p.renewal, Roster: rosters, Log: p.log,
+			Replica: p.replica, Leases: p.renewal, Roster: rosters, Members: p.failover, Log: p.log,
 		}),
 		TLSConfig: source.Server("http/1.1"), ReadHeaderTimeout: headerTimeout,
 	}
--- a/control/internal/failover/members.go
+++ b/control/internal/failover/members.go
@@ -29,12 +29,9 @@
 		return nil
 	}
 	var problems []jsonc.Problem
-	for i, service := range next.Services {
-		old := slices.IndexFunc(current.Services, func(o inventory.Service) bool { return o.Name == service.Name })
-		if old < 0 || sameMembers(current.Services[old], service) {
-			continue
-		}
-		if message := checkService(ctx, lead, current.Services[old], service); message != "" {
+	for _, i := range ChangedServices(current, next) {
+		service := next.Services[i]
+		if message := checkService(ctx, lead, *find(current, service.Name), service); message != "" {
 			problems = append(problems, jsonc.Problem{
 				Pointer: fmt.Sprintf("/services/%d/databases", i),
 				Message: message,
@@ -45,6 +42,25 @@
 	return problems
 }
 
+// ChangedServices returns the indexes in the next inventory of the services whose databases it changes.
+func ChangedServices(current, next *inventory.Inventory) []int {
+	var changed []int
+	for i, service := range next.Services {
+		if old := find(current, service.Name); old != nil && !sameMembers(*old, service) {
+			changed = append(changed, i)
+		}
+	}
+	return changed
+}
+
+func find(inv *inventory.Inventory, name group.Service) *inventory.Service {
+	i := slices.IndexFunc(inv.Services, func(s inventory.Service) bool { return s.Name == name })
+	if i < 0 {
+		return nil
+	}
+	return &inv.Services[i]
+}
+
 func sameMembers(a, b inventory.Service) bool {
 	names := func(s inventory.Service) []group.Server {
 		var list []group.Server
--- a/control/internal/operator/inventory.go
+++ b/control/internal/operator/inventory.go
@@ -47,13 +47,17 @@
 	if err := readJSON(r, &body); err != nil {
 		return err
 	}
-	if err := checkChange(body); err != nil {
+	next, err := checkChange(body)
+	if err != nil {
 		return err
 	}
 	peer, err := peerOf(r)
 	if err != nil {
 		return err
 	}
+	if err := s.checkMembers(r.Context(), body.Base, next); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), proposeTimeout)
 	defer cancel()
 	result, err := s.cfg.Replica.Propose(ctx, catalog.Command{ApplyInventory: &catalog.ApplyInventory{
@@ -65,22 +69,25 @@
 	return writeApplied(w, result)
 }
 
-func checkChange(body protocol.ApplyInventory) error {
+func checkChange(body protocol.ApplyInventory) (*inventory.Inventory, error) {
 	if body.Operation == "" || len(body.Operation) > maxOperationSize {
-		return invalid(fmt.Sprintf("the operation needs an id of 1 to %d bytes", maxOperationSize))
+		return nil, invalid(fmt.Sprintf("the operation needs an id of 1 to %d bytes", maxOperationSize))
 	}
 	if len(body.Document) > maxDocumentBytes {
-		return invalid(fmt.Sprintf("the document has %d bytes; the most is %d", len(body.Document), maxDocumentBytes))
+		return nil, invalid(fmt.Sprintf("the document has %d bytes; the most is %d", len(body.Document), maxDocumentBytes))
 	}
-	_, err := inventory.Read([]byte(body.Document))
-	var refused *jsonc.Error
-	if errors.As(err, &refused) {
-		return &protocol.OperatorError{
-			Code: protocol.ErrorRefused, Message: fmt.Sprintf("the document has %d problems", len(refused.Problems)),
-			Problems: refused.Problems,
-		}
+	next, err := inventory.Read([]byte(body.Document))
+	var problems *jsonc.Error
+	if errors.As(err, &problems) {
+		return nil, refused(problems.Problems)
+	}
+	return next, err
+}
+
+func refused(problems []jsonc.Problem) error {
+	return &protocol.OperatorError{
+		Code: protocol.ErrorRefused, Message: fmt.Sprintf("the document has %d problems", len(problems)), Problems: problems,
 	}
-	return err
 }
 
 func writeApplied(w http.ResponseWriter, result catalog.Result) error {
--- a/control/internal/operator/service.go
+++ b/control/internal/operator/service.go
@@ -14,6 +14,7 @@
 	"lentilwind.dev/lentilwind/catalog"
 	"lentilwind.dev/lentilwind/inventory"
 	"lentilwind.dev/lentilwind/journal"
+	"lentilwind.dev/lentilwind/jsonc"
 	"lentilwind.dev/lentilwind/lease"
 	"lentilwind.dev/lentilwind/protocol"
 )
@@ -25,6 +26,8 @@
 	maxOperationSize = 128
 	proposeTimeout   = 4 * time.Second
 	maxWait          = 30 * time.Second
+	// inForceWait bounds the wait for the base of a change of databases.
+	inForceWait = 2 * time.Second
 )
 
 // Replica is the member of the journal that the requests go to.
@@ -50,11 +53,18 @@
 	Entries() []protocol.EntryState
 }
 
+// Members knows whether the databases of services may be changed.
+type Members interface {
+	// CheckMembers may be asked once the current inventory is in force everywhere.
+	CheckMembers(ctx context.Context, next *inventory.Inventory) []jsonc.Problem
+}
+
 // Config is what the operators' interface needs.
 type Config struct {
 	Replica Replica
 	Leases  Leases
 	Roster  Roster
+	Members Members
 	Log     *log.Logger
 }
 
