The control leader grants budgets of connections

Entries with leased budgets found nobody to ask. A service now follows the leadership, the inventory and the roster, and answers only while this process leads.

--- /dev/null
+++ b/control/internal/budget/doc.go
@@ -0,0 +1,2 @@
+// Package budget answers entries that ask for connections to databases while this process leads.
+package budget
--- a/control/internal/command/process.go
+++ b/control/internal/command/process.go
@@ -14,6 +14,7 @@
 	"github.com/phuslu/log"
 	"golang.org/x/sync/errgroup"
 
+	"lentilwind.dev/control/internal/budget"
 	"lentilwind.dev/control/internal/failover"
 	"lentilwind.dev/control/internal/monitor"
 	"lentilwind.dev/control/internal/operator"
@@ -51,6 +52,7 @@
 	endpoint *link.Endpoint
 	replica  *replica.Replica
 	renewal  *renewal.Service
+	budgets  *budget.Service
 	failover *failover.Service
 	monitor  *monitor.Monitor
 	stopping atomic.Bool
@@ -137,6 +139,7 @@
 		Ledger: p.replica, Topology: rosters, Observer: rosters, Events: p.events,
 	}, p.endpoint)
 	quota.New(p.replica, p.endpoint)
+	p.budgets = budget.New(p.replica, rosters, p.endpoint)
 	p.failover = failover.New(failover.Config{
 		Ledger: p.replica, Roster: rosters, Monitor: p.monitor, Timer: p.timers, Events: p.events, Log: p.log,
 		Group: decisions.DefaultConfig(), Detector: decisions.DefaultDetectorConfig(), Affinity: affinity.DefaultConfig(),
@@ -166,6 +169,7 @@
 	g.Go(func() error { return p.endpoint.Serve(serving) })
 	g.Go(func() error { return p.replica.Run(serving) })
 	g.Go(func() error { return p.renewal.Run(serving) })
+	g.Go(func() error { return p.budgets.Run(serving) })
 	g.Go(func() error {
 		defer p.monitor.Close()
 		return p.failover.Run(serving)
