--- a/control/internal/failover/leadership.go
+++ b/control/internal/failover/leadership.go
@@ -44,6 +44,8 @@
 type managed struct {
 	id      group.ID
 	machine *failover.Machine
+	// appointed is the primary that the machine has last asked to be journalled.
+	appointed group.Configuration
 	// published is the topology that holds the newest configuration.
 	published protocol.TopologyVersion
 }
@@ -137,18 +139,27 @@
 	l.perform(g, g.machine.Start(l.now))
 }
 
-// primaries counts the groups of a service that a server is the primary of; the lock is held.
+// primaries counts the groups of a service that a server is, or is about to be, the primary of; the lock is held.
 func (l *leadership) primaries(service group.Service, server group.Server) int {
 	n := 0
 	for slot := range l.slots[service] {
 		g := l.groups[group.ID{Service: service, Slot: group.Slot(slot)}]
-		if g != nil && g.machine.Configuration().Primary == server {
+		if g != nil && g.primary() == server {
 			n++
 		}
 	}
 	return n
 }
 
+// primary returns the primary, or the one that is being appointed in the current term.
+func (g *managed) primary() group.Server {
+	current := g.machine.Configuration()
+	if current.Primary == "" && g.appointed.Term == current.Term {
+		return g.appointed.Primary
+	}
+	return current.Primary
+}
+
 // step gives a machine one event and does what follows; the lock is held.
 func (l *leadership) step(g *managed, event failover.Event) {
 	l.perform(g, g.machine.Step(l.now, event))
--- a/control/internal/failover/perform.go
+++ b/control/internal/failover/perform.go
@@ -50,6 +50,7 @@
 	case failover.Note:
 		l.note(id, e)
 	case failover.Journal:
+		g.appointed = e.Next
 		l.once(call{id, e.Next.Primary, actionJournal, e.Next.Term}, func() failover.Event { return l.propose(e) })
 	case failover.Fence:
 		l.ask(call{id, e.Server, actionFence, e.Term}, func(target monitor.Target) failover.Event {
--- a/control/internal/failover/service_test.go
+++ b/control/internal/failover/service_test.go
@@ -9,6 +9,7 @@
 	"lentilwind.dev/bench/database"
 	"lentilwind.dev/lentilwind/catalog"
 	"lentilwind.dev/lentilwind/group"
+	"lentilwind.dev/lentilwind/protocol"
 	"lentilwind.dev/lentilwind/inventory"
 )
 
@@ -264,3 +265,20 @@
 		})
 	}
 }
+
+func TestPrimariesOfANewFleetAreSpread(t *testing.T) {
+	f, _, _ := calm(t, 1)
+	loads := make(map[group.Server]int)
+	f.await("a primary of each group", func() bool {
+		clear(loads)
+		for _, configuration := range f.processes[0].roster.Topology(protocol.TopologyVersion{}).Groups {
+			if configuration.Primary != "" {
+				loads[configuration.Primary]++
+			}
+		}
+		return loads[names[0]]+loads[names[1]]+loads[names[2]] == len(names)
+	})
+	if len(loads) != len(names) {
+		t.Errorf("the primaries of %d groups are %v", len(names), loads)
+	}
+}
