Stand-ins end dead links at once and tell their names

Cause: a replica looked at a new target only after it had joined, so a silent primary held it for up to 1 s; a relay that closed while a connection was held across a cut let that connection dial afterwards and waited for it without end. Conclusion: link timeouts no longer bound how fast a replica follows.

--- a/bench/database/config.go
+++ b/bench/database/config.go
@@ -32,6 +32,8 @@
 	// ApplyDelay holds records back before reads on a replica see them.
 	ApplyDelay  jsonc.Duration `json:"applyDelay,omitempty"`
 	LockTimeout jsonc.Duration `json:"lockTimeout,omitempty"`
+	// LinkTimeout is how long a replica waits on a silent primary.
+	LinkTimeout jsonc.Duration `json:"linkTimeout,omitempty"`
 	// DataFolder holds the state; an empty one keeps it in memory over Crash and Restart.
 	DataFolder string `json:"dataFolder,omitempty"`
 	// Announce lists base URLs that take announcements in turn.
@@ -60,6 +62,7 @@
 	DefaultSlots       = 3
 	DefaultConnections = 20
 	DefaultLockTimeout = 2 * time.Second
+	DefaultLinkTimeout = time.Second
 )
 
 // ApplyDefaults fills what was left out.
@@ -73,6 +76,9 @@
 	if c.LockTimeout == 0 {
 		c.LockTimeout = jsonc.Duration(DefaultLockTimeout)
 	}
+	if c.LinkTimeout == 0 {
+		c.LinkTimeout = jsonc.Duration(DefaultLinkTimeout)
+	}
 	if c.Listen == "" {
 		c.Listen = "127.0.0.1:0"
 	}
--- a/bench/database/replica.go
+++ b/bench/database/replica.go
@@ -18,7 +18,6 @@
 const (
 	probePeriod   = 20 * time.Millisecond
 	redialPeriod  = 50 * time.Millisecond
-	linkTimeout   = time.Second
 	maxQueuedSets = 4096
 )
 
@@ -60,33 +59,38 @@
 
 // link follows one primary until the connection fails or the target changes.
 func (r *run) link(m *member.Member, target member.Target) error {
-	dialer := net.Dialer{Timeout: linkTimeout, LocalAddr: r.localAddress()}
-	c, err := dialer.DialContext(r.ctx, "tcp", target.Address)
-	if err != nil {
-		return fmt.Errorf("database: %w", err)
-	}
 	l := &replicaLink{
-		run: r, member: m, target: target, conn: c, frontend: pgproto3.NewFrontend(c, c),
+		run: r, member: m, target: target,
 		batches: make(chan arrival, maxQueuedSets), sent: make(map[uint64]time.Time),
 	}
-	defer func() { _ = c.Close() }()
-	if err := l.join(); err != nil {
-		return err
-	}
 	g, ctx := errgroup.WithContext(r.ctx)
-	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	defer stop()
-	g.Go(func() error { return l.read(ctx) })
-	g.Go(func() error { return l.probe(ctx) })
-	g.Go(func() error { return l.take(ctx) })
 	g.Go(func() error { return l.watchTarget(ctx) })
+	g.Go(func() error {
+		if err := l.connect(ctx); err != nil {
+			return err
+		}
+		g.Go(func() error { return l.read(ctx) })
+		g.Go(func() error { return l.probe(ctx) })
+		g.Go(func() error { return l.take(ctx) })
+		return nil
+	})
 	return g.Wait()
 }
 
+// connect opens the connection, which closes with the context, and joins the primary.
+func (l *replicaLink) connect(ctx context.Context) error {
+	dialer := net.Dialer{Timeout: l.run.server.cfg.LinkTimeout.Std(), LocalAddr: l.run.localAddress()}
+	c, err := dialer.DialContext(ctx, "tcp", l.target.Address)
+	if err != nil {
+		return fmt.Errorf("database: %w", err)
+	}
+	context.AfterFunc(ctx, func() { _ = c.Close() })
+	l.conn, l.frontend = c, pgproto3.NewFrontend(c, c)
+	return l.join()
+}
+
 func (l *replicaLink) join() error {
-	stop := context.AfterFunc(l.run.ctx, func() { _ = l.conn.Close() })
-	defer stop()
-	_ = l.conn.SetDeadline(time.Now().Add(linkTimeout))
+	_ = l.conn.SetDeadline(time.Now().Add(l.run.server.cfg.LinkTimeout.Std()))
 	l.frontend.Send(&pgproto3.StartupMessage{
 		ProtocolVersion: pgproto3.ProtocolVersion30,
 		Parameters:      map[string]string{"user": userReplication, "database": string(l.run.server.cfg.Service)},
@@ -137,7 +141,7 @@
 func (l *replicaLink) read(ctx context.Context) error {
 	defer close(l.batches)
 	for {
-		_ = l.conn.SetReadDeadline(time.Now().Add(linkTimeout))
+		_ = l.conn.SetReadDeadline(time.Now().Add(l.run.server.cfg.LinkTimeout.Std()))
 		var batch member.Batch
 		if err := l.receive(&batch); err != nil {
 			return err
--- a/bench/database/startup.go
+++ b/bench/database/startup.go
@@ -149,11 +149,15 @@
 	{Name: "standard_conforming_strings", Value: "on"},
 }
 
+// parameterServer tells which server answers at an address.
+const parameterServer = "lentilwind.server"
+
 func (s *session) greet() {
 	s.backend.Send(&pgproto3.AuthenticationOk{})
 	for i := range greeting {
 		s.backend.Send(&greeting[i])
 	}
+	s.backend.Send(&pgproto3.ParameterStatus{Name: parameterServer, Value: string(s.run.server.cfg.Server)})
 	s.backend.Send(&pgproto3.BackendKeyData{ProcessID: s.process, SecretKey: s.secret})
 	s.ready()
 }
--- a/bench/relay/relay_test.go
+++ b/bench/relay/relay_test.go
@@ -120,3 +120,37 @@
 		t.Error("a new connection got no answer")
 	}
 }
+
+func TestCloseEndsConnectionsThatAreHeldBack(t *testing.T) {
+	network := newNetwork()
+	r, address := startTCP(t, network)
+	network.Set("a", "b", relay.Fault{Cut: true})
+	held := dial(t, address)
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, 2)}}
+	later, err := dialer.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = later.Close() }()
+	if !exchange(t, later, 5*time.Second) {
+		t.Fatal("no answer within a zone, so the held connection may not be accepted yet")
+	}
+	closed := make(chan error, 1)
+	go func() { closed <- r.Close() }()
+	if _, err := later.Read(make([]byte, 1)); err == nil {
+		t.Error("an open connection outlived the relay")
+	}
+	network.Heal()
+	select {
+	case err := <-closed:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(5 * time.Second):
+		_ = held.Close()
+		t.Fatal("the relay does not close")
+	}
+	if _, err := held.Read(make([]byte, 1)); err == nil {
+		t.Error("the held connection got an answer")
+	}
+}
--- a/bench/relay/tcp.go
+++ b/bench/relay/tcp.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -22,6 +23,9 @@
 	listener net.Listener
 	target   netip.AddrPort
 	refusing atomic.Bool
+	// ctx ends when the relay closes.
+	ctx    context.Context
+	cancel context.CancelFunc
 
 	mu    sync.Mutex
 	pairs map[*pair]struct{}
@@ -42,6 +46,7 @@
 		return nil, fmt.Errorf("relay: %w", err)
 	}
 	r := &TCP{network: network, listener: listener, target: target, pairs: make(map[*pair]struct{})}
+	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.done.Add(1)
 	go r.accept()
 	return r, nil
@@ -71,6 +76,7 @@
 // Close ends the relay and its connections.
 func (r *TCP) Close() error {
 	err := r.listener.Close()
+	r.cancel()
 	r.CloseConnections()
 	r.done.Wait()
 	return err
@@ -101,15 +107,16 @@
 		return
 	}
 	dialer := net.Dialer{LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(source, 0))}
-	server, err := dialer.Dial("tcp", r.target.String())
+	server, err := dialer.DialContext(r.ctx, "tcp", r.target.String())
 	if err != nil {
 		_ = client.Close()
 		return
 	}
 	p := &pair{client: client, server: server}
-	r.mu.Lock()
-	r.pairs[p] = struct{}{}
-	r.mu.Unlock()
+	if !r.add(p) {
+		p.close()
+		return
+	}
 	var copies sync.WaitGroup
 	copies.Add(2)
 	go r.copy(&copies, p, source, server, client)
@@ -121,12 +128,23 @@
 	r.mu.Unlock()
 }
 
+// add makes a pair known unless the relay is closing.
+func (r *TCP) add(p *pair) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ctx.Err() != nil {
+		return false
+	}
+	r.pairs[p] = struct{}{}
+	return true
+}
+
 // maxConnectWait is how long a connection attempt across a cut is held before it is closed.
 const maxConnectWait = 10 * time.Second
 
 // waitUncut holds a new connection while its zones are cut off from each other.
 func (r *TCP) waitUncut(source netip.Addr) bool {
-	for deadline := time.Now().Add(maxConnectWait); time.Now().Before(deadline); time.Sleep(faultPoll) {
+	for deadline := time.Now().Add(maxConnectWait); time.Now().Before(deadline) && r.ctx.Err() == nil; time.Sleep(faultPoll) {
 		if !r.network.between(source, r.target.Addr()).Cut {
 			return true
 		}
