--- a/bench/fleet/files.go
+++ b/bench/fleet/files.go
@@ -59,6 +59,9 @@
 		Operators         []string  `json:"operators"`
 		PlainTextNetworks []string  `json:"plainTextNetworks"`
 	}{Fleet: string(f.Layout.Region), Operators: []string{operatorName}, PlainTextNetworks: []string{"127.0.0.0/8"}}
+	if f.options.RequireTLS {
+		plan.PlainTextNetworks = nil
+	}
 	for _, m := range f.Layout.spread("control", f.Layout.Control) {
 		p, err := f.planInstance(m, controlHostOffset, "lentil-control", &f.Control)
 		if err != nil {
--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -36,6 +36,8 @@
 	Dir string
 	// Relays puts a relay before every process, so that faults can be injected.
 	Relays bool
+	// RequireTLS makes entries refuse keys over plain text.
+	RequireTLS bool
 	// Watch lists texts that the databases report when they receive them.
 	Watch []string
 }
@@ -271,6 +273,9 @@
 	return f.block.address(clientsDataCentre, clientsHost, 0).Addr()
 }
 
+// AuthorityFile returns the certificate by which callers know entries.
+func (f *Fleet) AuthorityFile() string { return f.path(fleetFolder, "authority", "authority.pem") }
+
 // EventFiles lists the events files of all processes.
 func (f *Fleet) EventFiles() []string {
 	var files []string
--- a/tests/helper_test.go
+++ b/tests/helper_test.go
@@ -44,6 +44,12 @@
 
 // start runs a fleet for one test and keeps its logs when the test has failed.
 func start(t *testing.T, layout fleet.Layout) *fleet.Fleet {
+	t.Helper()
+	return startWith(t, layout, fleet.Options{Relays: true})
+}
+
+// startWith runs a fleet with options other than its folders.
+func startWith(t *testing.T, layout fleet.Layout, options fleet.Options) *fleet.Fleet {
 	t.Helper()
 	dir, err := os.MkdirTemp("", "lentilwind-test-")
 	if err != nil {
@@ -53,7 +59,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f, err := fleet.Start(t.Context(), layout, fleet.Options{Bin: bin, Dir: dir, Relays: true})
+	options.Bin, options.Dir = bin, dir
+	f, err := fleet.Start(t.Context(), layout, options)
 	if err != nil {
 		t.Fatalf("%v (files in %s)", err, dir)
 	}
