--- a/control/internal/failover/service_test.go
+++ b/control/internal/failover/service_test.go
@@ -9,8 +9,8 @@
 	"lentilwind.dev/bench/database"
 	"lentilwind.dev/lentilwind/catalog"
 	"lentilwind.dev/lentilwind/group"
-	"lentilwind.dev/lentilwind/protocol"
 	"lentilwind.dev/lentilwind/inventory"
+	"lentilwind.dev/lentilwind/protocol"
 )
 
 // gapLimit is the longest that a change of primary may take.
