--- a/lentilctl/internal/timeline/html.go
+++ b/lentilctl/internal/timeline/html.go
@@ -6,6 +6,7 @@
 	"html/template"
 	"io"
 	"slices"
+	"time"
 
 	"lentilwind.dev/instance/events"
 )
@@ -51,7 +52,7 @@
 func rows(story *Story, instances []string) []row {
 	result := make([]row, 0, len(story.Events))
 	for i, e := range story.Events {
-		skewed := i > 0 && e.Time.Before(story.Events[i-1].Time)
+		skewed := i > 0 && e.Time.Truncate(time.Millisecond).Before(story.Events[i-1].Time.Truncate(time.Millisecond))
 		result = append(result, row{
 			Time:     e.Time.UTC().Format(timeFormat),
 			Offset:   fmt.Sprintf("+%.3f s", e.Clock.Wall().Sub(story.Events[0].Clock.Wall()).Seconds()),
