--- a/control/internal/command/root.go
+++ b/control/internal/command/root.go
@@ -75,9 +75,16 @@
 }
 
 func newCheckConfig() *cobra.Command {
-	cmd := &cobra.Command{Use: "check-config", Short: "Check the settings file and report every problem"}
-	return withSettings(cmd, func(cmd *cobra.Command, _ *settings.Settings) error {
-		cmd.Println("the settings are valid")
-		return nil
-	})
+	return &cobra.Command{
+		Use:   "check-config FILE",
+		Short: "Check a settings file and report every problem",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if _, err := settings.Read(args[0]); err != nil {
+				return err
+			}
+			cmd.Println("The file has no faults.")
+			return nil
+		},
+	}
 }
