Entries take partial topologies of a new leader

A topology that was not full was refused when it came from a newer leader, though such a leader tells at once what it knows and all there is only later. It is applied now and keeps what it does not list; terms of groups still never go back.

--- a/entry/internal/directory/builder.go
+++ b/entry/internal/directory/builder.go
@@ -45,9 +45,9 @@
 	return true
 }
 
-// ApplyTopology takes in a newer topology and reports whether it did; a partial one of another leader is refused.
+// ApplyTopology takes in a newer topology and reports whether it did; a partial one keeps what it does not list.
 func (b *Builder) ApplyTopology(t *protocol.Topology) bool {
-	if !newer(t.Version, b.version) || !t.Full && t.Version.LeaderTerm != b.version.LeaderTerm {
+	if !newer(t.Version, b.version) {
 		return false
 	}
 	if t.Full {
