Waits for a lost primary end with its term

A transaction without a connection waited for the old server until its own deadline. Such a wait, also one at a home, now ends once the server gets no new work or a newer term has begun, and the transaction is placed anew; nothing of it had been sent.

A pool whose server left the entry's budgets fell out of the set with its transactions still running: they were no longer counted as open, reported as running or given up. Closed pools stay until they are empty. Leaving servers keep their pool with a limit of 0, and a home without a budget for the server refuses at once so that the sender asks the next.

--- a/entry/internal/caller/bench_test.go
+++ b/entry/internal/caller/bench_test.go
@@ -180,7 +180,7 @@
 		b.Fatal(err)
 	}
 	server := caller.NewServer(caller.Config{
-		Directory: d, Positions: fixedPositions{}, Executor: executor.NewLocal(pools), Signer: signer,
+		Directory: d, Positions: fixedPositions{}, Executor: executor.NewLocal(pools, executor.NewWaits()), Signer: signer,
 		PlainText: []netip.Prefix{netip.MustParsePrefix("127.0.0.0/8")}, Events: recorder, Log: logs.Discard(),
 		Limits: caller.Limits{
 			Callers: 1000, RequestBytes: 1 << 20, AnswerBytes: 64 << 10, RequestTimeout: 5 * time.Second, AnswerTimeout: 5 * time.Second,
--- a/entry/internal/caller/failover_test.go
+++ b/entry/internal/caller/failover_test.go
@@ -1,10 +1,14 @@
 package caller_test
 
 import (
+	"net"
+	"net/netip"
 	"testing"
 	"time"
 
 	"lentilwind.dev/entry/internal/directory"
+	"lentilwind.dev/entry/internal/pool"
+	"lentilwind.dev/lentilwind/group"
 	"lentilwind.dev/lentilwind/session"
 )
 
@@ -73,3 +77,54 @@
 		t.Errorf("the session was shown %d", value)
 	}
 }
+
+// over tells from a snapshot what is over.
+type over struct{ snapshot *directory.Snapshot }
+
+func (o over) TermEnded(id group.ID, term group.Term) bool {
+	configuration, _ := o.snapshot.Group(id)
+	return configuration.Term > term
+}
+
+func (o over) ServerClosed(name group.Server) bool { return !o.snapshot.Server(name).Live() }
+
+func TestWriteThatWaitsForALostPrimaryRunsOnceOnTheNewOne(t *testing.T) {
+	for name, forward := range map[string]bool{"local": false, "forwarded": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, nil)
+			f.forward = forward
+			f.limits.RequestTimeout = patience
+			silent, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { _ = silent.Close() })
+			e := f.newEntry()
+			e.pools.Configure([]pool.Target{
+				{Service: testService, Server: serverName(0), Address: netip.MustParseAddrPort(silent.Addr().String()), Limit: 1},
+				{Service: testService, Server: serverName(1), Address: netip.MustParseAddrPort(f.databases[1].Address()), Limit: 1},
+			})
+			conn := e.connect(t, "")
+			ctx := testContext(t)
+			done := make(chan error, 1)
+			go func() {
+				_, err := conn.Exec(ctx, "/*route='order'*/ INSERT INTO stock (key, value) VALUES ('a', 1)")
+				done <- err
+			}()
+			held, err := silent.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { _ = held.Close() })
+			f.replace(2, 1, 0, 2)
+			f.publish(2, serverName(1))
+			f.waits.End(over{f.directory.Snapshot()})
+			if err := <-done; err != nil {
+				t.Error(err)
+			}
+			if n := f.statements("INSERT"); n != 1 {
+				t.Errorf("sent %d times", n)
+			}
+		})
+	}
+}
--- a/entry/internal/caller/harness_test.go
+++ b/entry/internal/caller/harness_test.go
@@ -55,6 +55,7 @@
 	// stopHome ends the home.
 	stopHome context.CancelFunc
 	quota    caller.Quota
+	waits    *executor.Waits
 	// connections is the limit of each pool.
 	connections int
 }
@@ -63,7 +64,7 @@
 
 func newFleet(t *testing.T, change func(*database.Config)) *fleet {
 	t.Helper()
-	f := &fleet{t: t, directory: directory.New(), secret: []byte("0123456789abcdef0123456789abcdef"), connections: 4}
+	f := &fleet{t: t, directory: directory.New(), secret: []byte("0123456789abcdef0123456789abcdef"), connections: 4, waits: executor.NewWaits()}
 	f.limits = caller.Limits{
 		Callers: 1000, RequestBytes: 1 << 20, AnswerBytes: 64 << 10, RequestTimeout: 5 * time.Second, AnswerTimeout: 5 * time.Second,
 		ConfirmTimeout: 5 * time.Second, IdleInTransaction: time.Minute, SlowCaller: 5 * time.Second, StartupTimeout: 5 * time.Second,
@@ -212,7 +213,7 @@
 
 // newExecutor returns an executor over the pools, or one that reaches them by way of another entry.
 func (f *fleet) newExecutor(pools *pool.Set) executor.Executor {
-	local := executor.NewLocal(pools)
+	local := executor.NewLocal(pools, f.waits)
 	if !f.forward {
 		return local
 	}
@@ -222,7 +223,7 @@
 	}
 	home, sender := f.newEndpoint(authority, homeName), f.newEndpoint(authority, "entry-1")
 	home.HandleStream(protocol.KindTransaction, executor.NewHome(local).ServeStream)
-	return executor.NewRouter(local, executor.NewRemote(sender), homes{home.Address()})
+	return executor.NewRouter(local, executor.NewRemote(sender, f.waits), homes{home.Address()})
 }
 
 const homeName = "entry-2"
--- a/entry/internal/caller/run.go
+++ b/entry/internal/caller/run.go
@@ -40,7 +40,11 @@
 		t.primary = true
 		return again
 	case outcome.ReasonRefusedBefore:
-	case outcome.ReasonConnect, outcome.ReasonHome, outcome.ReasonNoServer:
+	case outcome.ReasonNoServer:
+		// No server was asked, so the next attempt burdens none anew.
+		t.tried = group.Configuration{}
+		return c.pause(t, t.backOff())
+	case outcome.ReasonConnect, outcome.ReasonHome:
 		t.tried = group.Configuration{}
 		if !c.pause(t, t.backOff()) {
 			return false
--- a/entry/internal/command/budgets.go
+++ b/entry/internal/command/budgets.go
@@ -49,10 +49,15 @@
 	var targets []pool.Target
 	for name, budget := range h.Budgets {
 		server := snapshot.Server(name)
-		if server == nil || server.Health == protocol.HealthLeaving {
+		if server == nil {
 			continue
 		}
-		targets = append(targets, pool.Target{Service: server.Service, Server: name, Address: server.Address, Limit: budget.Target})
+		target := pool.Target{Service: server.Service, Server: name, Address: server.Address, Limit: budget.Target}
+		if server.Health == protocol.HealthLeaving {
+			// What runs goes on and counts as open until it has ended.
+			target.Limit = 0
+		}
+		targets = append(targets, target)
 	}
 	e.pools.Configure(targets)
 	for name, budget := range h.Budgets {
--- a/entry/internal/command/entry.go
+++ b/entry/internal/command/entry.go
@@ -146,16 +146,21 @@
 	if err != nil {
 		return err
 	}
-	local := executor.NewLocal(e.pools)
+	waits := executor.NewWaits()
+	local := executor.NewLocal(e.pools, waits)
 	e.home = executor.NewHome(local)
-	router := executor.NewRouter(local, executor.NewRemote(e.endpoint), e.places)
+	router := executor.NewRouter(local, executor.NewRemote(e.endpoint, waits), e.places)
 	e.endpoint.HandleStream(protocol.KindTransaction, e.home.ServeStream)
 	e.server = caller.NewServer(caller.Config{
 		Directory: e.directory, Positions: e.keeper, Executor: router, Quota: e.quota, Signer: signer,
 		TLS: e.identity.ServerOnly(), PlainText: s.Prefixes(), Limits: callerLimits(&s.Limits), Events: e.events, Log: e.log,
 	}, listener)
 	e.timers.Every(trimPeriod, e.pools.Trim)
-	e.timers.Every(abandonPeriod, func(now time.Time) { e.pools.Abandon(now, endedTerms{e.directory.Snapshot()}) })
+	e.timers.Every(abandonPeriod, func(now time.Time) {
+		ended := endedTerms{e.directory.Snapshot()}
+		e.pools.Abandon(now, ended)
+		waits.End(ended)
+	})
 	return errors.Join(e.server.Register(e.metrics.Meter), e.registerPools())
 }
 
@@ -182,6 +187,12 @@
 	return server == nil || server.Health == protocol.HealthSilent
 }
 
+// ServerClosed tells that the server gets no new work.
+func (e endedTerms) ServerClosed(name group.Server) bool {
+	server := e.snapshot.Server(name)
+	return server == nil || !server.Live()
+}
+
 func callerLimits(l *settings.Limits) caller.Limits {
 	return caller.Limits{
 		Callers: l.Callers, RequestBytes: l.RequestBytes, AnswerBytes: l.AnswerBytes, RequestTimeout: l.RequestTimeout.Std(),
--- a/entry/internal/executor/first.go
+++ b/entry/internal/executor/first.go
@@ -85,6 +85,9 @@
 func (t *local) reconnect() error {
 	t.pool.Release(t.detach(), false)
 	t.broken = false
+	if t.waits.over(&t.opening) {
+		return outcome.At(outcome.ReasonNoServer, errOver)
+	}
 	return t.acquire(context.Background())
 }
 
--- a/entry/internal/executor/home.go
+++ b/entry/internal/executor/home.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -51,6 +52,10 @@
 		return
 	}
 	tx, err := h.local.Open(ctx, &v.opening)
+	if errors.Is(err, errNoPool) {
+		// Another home may have a budget for the server.
+		err = outcome.At(outcome.ReasonHome, err)
+	}
 	if err != nil {
 		v.fail(outcome.Of(err))
 		return
--- a/entry/internal/executor/local.go
+++ b/entry/internal/executor/local.go
@@ -15,18 +15,22 @@
 // Local runs transactions over the entry's own connections.
 type Local struct {
 	pools *pool.Set
+	waits *Waits
 }
 
 // NewLocal returns an executor over a set of pools.
-func NewLocal(pools *pool.Set) *Local { return &Local{pools: pools} }
+func NewLocal(pools *pool.Set, waits *Waits) *Local { return &Local{pools: pools, waits: waits} }
+
+var errNoPool = errors.New("executor: the entry has no connections to the server")
 
 // Open waits for a connection of the entry.
 func (l *Local) Open(ctx context.Context, opening *protocol.Forward) (Transaction, error) {
 	p := l.pools.Pool(opening.Server)
-	if p == nil {
-		return nil, outcome.At(outcome.ReasonNoServer, nil)
+	if p == nil || !p.Serves() {
+		return nil, outcome.At(outcome.ReasonNoServer, errNoPool)
 	}
 	t := transactions.Get().(*local)
+	t.waits = l.waits
 	t.reset(p, opening)
 	if err := t.acquire(ctx); err != nil {
 		t.recycle()
@@ -43,7 +47,7 @@
 	t.scope = pool.Scope{Workspace: opening.Workspace, Slot: opening.Group.Slot, Term: opening.Term, Access: opening.Access}
 	t.want = pool.Want{Scope: t.scope, Class: pool.Class{
 		Workspace: opening.Workspace, Priority: opening.Priority, Weight: opening.Weight,
-	}}
+	}, Deadline: time.Now().Add(opening.QueueFor)}
 	t.plan.Reset()
 	t.position = Position{}
 	t.placed, t.broken, t.unsynced, t.block, t.rest = false, false, false, BlockNone, 0
@@ -57,18 +61,37 @@
 
 // acquire gets a connection within the time that the opening allows.
 func (t *local) acquire(ctx context.Context) error {
-	t.want.Deadline = time.Now().Add(t.opening.QueueFor)
+	conn := t.pool.Idle(&t.want)
+	if conn == nil {
+		var err error
+		if conn, err = t.await(ctx); err != nil {
+			return err
+		}
+	}
+	t.mu.Lock()
+	t.conn = conn
+	t.mu.Unlock()
+	return nil
+}
+
+// await waits for a connection, unless the server or the term is over before there is one.
+func (t *local) await(ctx context.Context) (*pool.Conn, error) {
+	ctx, w := t.waits.begin(ctx, &t.opening)
+	defer w.end()
 	conn, err := t.pool.Acquire(ctx, &t.want)
 	if err == nil {
-		t.mu.Lock()
-		t.conn = conn
-		t.mu.Unlock()
-		return nil
+		return conn, nil
+	}
+	if ended(ctx) {
+		return nil, outcome.At(outcome.ReasonNoServer, errOver)
+	}
+	if errors.Is(err, pool.ErrClosed) {
+		return nil, outcome.At(outcome.ReasonNoServer, errNoPool)
 	}
 	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, pool.ErrRefused) {
-		return outcome.At(outcome.ReasonQueue, err)
+		return nil, outcome.At(outcome.ReasonQueue, err)
 	}
-	return outcome.At(outcome.ReasonConnect, err)
+	return nil, outcome.At(outcome.ReasonConnect, err)
 }
 
 func (t *local) reads() bool { return t.opening.Access == inventory.AccessRead }
--- a/entry/internal/executor/remote.go
+++ b/entry/internal/executor/remote.go
@@ -23,26 +23,42 @@
 
 // Remote forwards transactions to the pool homes of other entries.
 type Remote struct {
-	link *link.Endpoint
+	link  *link.Endpoint
+	waits *Waits
 }
 
 // NewRemote returns an executor that forwards over an endpoint.
-func NewRemote(endpoint *link.Endpoint) *Remote { return &Remote{link: endpoint} }
+func NewRemote(endpoint *link.Endpoint, waits *Waits) *Remote {
+	return &Remote{link: endpoint, waits: waits}
+}
 
 // Open opens a transaction at a home; a write waits until the home has a connection, so that a lost home loses no write.
 func (r *Remote) Open(ctx context.Context, home netip.AddrPort, opening *protocol.Forward) (Transaction, error) {
-	ctx, cancel := context.WithTimeout(ctx, opening.QueueFor)
+	ctx, w := r.waits.begin(ctx, opening)
+	defer w.end()
+	t, err := r.open(ctx, home, opening)
+	if err != nil && ended(ctx) {
+		return nil, outcome.At(outcome.ReasonNoServer, errOver)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return t, nil
+}
+
+func (r *Remote) open(ctx context.Context, home netip.AddrPort, opening *protocol.Forward) (*forwarded, error) {
+	limited, cancel := context.WithTimeout(ctx, opening.QueueFor)
 	defer cancel()
-	stream, err := r.link.Open(ctx, home, protocol.KindTransaction, opening)
+	stream, err := r.link.Open(limited, home, protocol.KindTransaction, opening)
 	if err != nil {
 		return nil, outcome.At(outcome.ReasonHome, err)
 	}
-	t := &forwarded{stream: stream, r: bufio.NewReaderSize(stream, streamBufferBytes), opening: *opening}
+	t := &forwarded{stream: stream, r: bufio.NewReaderSize(stream, streamBufferBytes), waits: r.waits, opening: *opening}
 	if opening.Access == inventory.AccessRead {
 		return t, nil
 	}
 	_ = stream.SetReadDeadline(time.Now().Add(opening.QueueFor + forwardGrace))
-	if err := t.await(tagOpened); err != nil {
+	if err := t.awaitUnless(ctx, tagOpened); err != nil {
 		t.Close()
 		var refused *outcome.Failure
 		if errors.As(err, &refused) {
@@ -58,6 +74,7 @@
 type forwarded struct {
 	stream  *link.Stream
 	r       *bufio.Reader
+	waits   *Waits
 	opening protocol.Forward
 	opened  bool
 
@@ -86,6 +103,26 @@
 	}
 }
 
+// awaitUnless is await that ends with a context.
+func (t *forwarded) awaitUnless(ctx context.Context, want tag) error {
+	stop := context.AfterFunc(ctx, func() { t.stream.CancelRead(0) })
+	err := t.await(want)
+	if !stop() && err == nil {
+		return errOver
+	}
+	return err
+}
+
+// awaitSettled waits for the home; before the home has a connection, the wait ends with the server or the term.
+func (t *forwarded) awaitSettled() error {
+	if t.opened {
+		return t.await(tagSettled)
+	}
+	ctx, w := t.waits.begin(context.Background(), &t.opening)
+	defer w.end()
+	return t.awaitUnless(ctx, tagSettled)
+}
+
 // aside takes in a frame that is no part of an answer.
 func (t *forwarded) aside(h frameHeader) error {
 	switch h.tag {
@@ -125,7 +162,7 @@
 	if _, err := t.stream.Write(t.out); err != nil {
 		return t.lost(err)
 	}
-	if err := t.await(tagSettled); err != nil {
+	if err := t.awaitSettled(); err != nil {
 		return t.lost(err)
 	}
 	t.opened = true
--- a/entry/internal/executor/transaction.go
+++ b/entry/internal/executor/transaction.go
@@ -20,6 +20,7 @@
 // local is a transaction on one of the entry's own connections.
 type local struct {
 	pool    *pool.Pool
+	waits   *Waits
 	opening protocol.Forward
 	scope   pool.Scope
 	want    pool.Want
--- a/entry/internal/pool/pool.go
+++ b/entry/internal/pool/pool.go
@@ -62,6 +62,20 @@
 	return &Pool{service: service, server: server, address: address, limit: limit, waiting: newWaiters(), writes: make(map[writeKey]int), endedAt: make(map[writeKey]time.Time), active: make(map[*Conn]struct{})}
 }
 
+// Idle returns an idle connection, or nil when the transaction has to wait for one.
+func (p *Pool) Idle(want *Want) *Conn {
+	p.mu.Lock()
+	var conn *Conn
+	if !p.closed && p.waiting.len() == 0 {
+		conn = p.takeIdle(want.Scope)
+	}
+	p.mu.Unlock()
+	if conn != nil {
+		p.begin(conn, want.Scope)
+	}
+	return conn
+}
+
 // Acquire returns a connection that nobody else uses, opened if need be.
 func (p *Pool) Acquire(ctx context.Context, want *Want) (*Conn, error) {
 	conn, err := p.reserve(ctx, want)
@@ -281,11 +295,18 @@
 	p.mu.Unlock()
 }
 
-// Configure changes the address and the limit; connections to an old address are closed.
+// Serves tells whether the pool may give out connections.
+func (p *Pool) Serves() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.closed && p.limit > 0
+}
+
+// Configure changes the address and the limit, and opens the pool again; connections to an old address are closed.
 func (p *Pool) Configure(address netip.AddrPort, limit int) {
 	p.mu.Lock()
 	moved := address != p.address
-	p.address, p.limit = address, limit
+	p.address, p.limit, p.closed = address, limit, false
 	var surplus []*Conn
 	if moved {
 		surplus, p.idle = p.idle, nil
--- a/entry/internal/pool/pool_test.go
+++ b/entry/internal/pool/pool_test.go
@@ -185,3 +185,37 @@
 		t.Error("a good connection was closed")
 	}
 }
+
+type allOver struct{}
+
+func (allOver) TermEnded(group.ID, group.Term) bool { return true }
+
+func (allOver) ServerLost(group.Server) bool { return true }
+
+func TestRemovedServerKeepsItsRunningTransactionsInTheSet(t *testing.T) {
+	_, server := newPool(t, 1)
+	target := pool.Target{Service: "inventario-1", Server: "db-0", Address: netip.MustParseAddrPort(server.Address()), Limit: 1}
+	set := pool.NewSet(netip.Addr{})
+	set.Configure([]pool.Target{target})
+	conn := acquire(t, set.Pool("db-0"), want("florists", patience))
+	set.Configure(nil)
+	p := set.Pool("db-0")
+	if p == nil || p.Usage().Open != 1 || p.Serves() {
+		t.Fatal("the running transaction is not counted, or the pool takes new ones")
+	}
+	set.Abandon(time.Now(), allOver{})
+	if _, err := conn.R.ReadByte(); err == nil {
+		t.Error("the answer was not given up")
+	}
+	p.Release(conn, false)
+	set.Configure([]pool.Target{target})
+	p = set.Pool("db-0")
+	p.Release(acquire(t, p, want("florists", patience)), true)
+	if usage := p.Usage(); usage.Open != 1 || usage.Idle != 1 {
+		t.Errorf("after its return: %+v", usage)
+	}
+	set.Configure(nil)
+	if set.Pool("db-0") != nil {
+		t.Error("a pool without transactions stays in the set")
+	}
+}
--- a/entry/internal/pool/set.go
+++ b/entry/internal/pool/set.go
@@ -37,7 +37,9 @@
 // Pool returns the pool of a server, or nil.
 func (s *Set) Pool(server group.Server) *Pool { return (*s.pools.Load())[server] }
 
-// Configure makes the set hold exactly the targets with an address; the pools of others end with their transactions.
+// Configure makes the set serve exactly the targets with an address.
+//
+// Pools of others are closed and stay until their transactions have ended, so that these are still counted and given up.
 func (s *Set) Configure(targets []Target) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -58,10 +60,12 @@
 		}
 		pools[target.Server] = p
 	}
-	s.pools.Store(&pools)
-	for _, p := range left {
-		p.Close()
+	for server, p := range left {
+		if p.Close(); p.Usage().Open > 0 {
+			pools[server] = p
+		}
 	}
+	s.pools.Store(&pools)
 }
 
 // Each calls a function for each pool.
