A restarted entry judges no key before it has an inventory

For some 20 ms after it began to accept callers a restarted entry refused valid keys with 28P01, since it knew no workspace. A startup now waits for the first inventory, up to the startup timeout, and is then refused with 57P03 (not run).

--- a/entry/internal/caller/refusal_test.go
+++ b/entry/internal/caller/refusal_test.go
@@ -255,3 +255,32 @@
 		}
 	}
 }
+
+func TestKeyIsNotJudgedBeforeThereIsAConfiguration(t *testing.T) {
+	f := newFleet(t, nil)
+	f.directory, f.revision, f.count = directory.New(), 0, 0
+	f.limits.StartupTimeout = 300 * time.Millisecond
+	ctx := testContext(t)
+	e := f.newEntry()
+	_, err := pgx.Connect(ctx, fmt.Sprintf(e.url, testWorkspace, testKey))
+	wantState(t, err, "57P03")
+	if n := e.server.Counters.KeyFailures.Load(); n != 0 {
+		t.Errorf("%d refused keys", n)
+	}
+
+	f.limits.StartupTimeout = patience
+	e = f.newEntry()
+	done := make(chan error, 1)
+	go func() {
+		conn, err := pgx.Connect(ctx, fmt.Sprintf(e.url, testWorkspace, testKey))
+		if err == nil {
+			err = conn.Close(ctx)
+		}
+		done <- err
+	}()
+	f.await(ctx, func() bool { return e.server.Callers() == 1 })
+	f.apply()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
--- a/entry/internal/caller/startup.go
+++ b/entry/internal/caller/startup.go
@@ -138,6 +138,11 @@
 	if c.service == "" {
 		c.service = group.Service(c.workspace)
 	}
+	if !c.server.configured(c.connected.Add(c.server.cfg.Limits.StartupTimeout)) {
+		return &outcome.Failure{
+			State: outcome.CannotConnectNow, Message: "the entry has no configuration yet, not run", Hint: "Connect again; the balancer may choose another entry.",
+		}
+	}
 	if failure := c.checkKey(); failure != nil {
 		return failure
 	}
@@ -151,6 +156,25 @@
 	return c.resume(parameters[session.ParameterName])
 }
 
+// configured waits for the first inventory until a deadline; nothing can be judged without one.
+func (s *Server) configured(deadline time.Time) bool {
+	if s.cfg.Directory.Snapshot().Revision > 0 {
+		return true
+	}
+	subscription := s.cfg.Directory.Subscribe()
+	defer subscription.Close()
+	clock := time.NewTimer(time.Until(deadline))
+	defer clock.Stop()
+	for s.cfg.Directory.Snapshot().Revision == 0 {
+		select {
+		case <-subscription.Changed:
+		case <-clock.C:
+			return false
+		}
+	}
+	return true
+}
+
 // resume takes over what an earlier connection of the session must still see.
 func (c *caller) resume(token string) *outcome.Failure {
 	c.state = session.State{Workspace: c.workspace, Partial: true}
--- a/entry/internal/outcome/outcome.go
+++ b/entry/internal/outcome/outcome.go
@@ -35,6 +35,7 @@
 	TooManyConnections State = "53300"
 	TooLarge           State = "54000"
 	AdminShutdown      State = "57P01"
+	CannotConnectNow   State = "57P03"
 )
 
 // Failure is the outcome of a request that was not answered by a database.
