lentil-bench slopes measures how control grows

Cause: nothing told how the cost of control grows with entries, databases and members. Change: lentil-bench slopes runs real control processes under light entries and databases, counts their packets in the relays, and prints points, slope and residual of each value, also as JSON.

--- a/bench/internal/command/root.go
+++ b/bench/internal/command/root.go
@@ -10,6 +10,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newDatabase(), newDemo(), newRun(), newCompare(), newCheckConfig())
+	root.AddCommand(newDatabase(), newDemo(), newRun(), newCompare(), newSlopes(), newCheckConfig())
 	return root
 }
--- /dev/null
+++ b/bench/internal/command/slopes.go
@@ -0,0 +1,44 @@
+package command
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"lentilwind.dev/bench/internal/slopes"
+)
+
+const (
+	defaultSpan  = 5 * time.Second
+	defaultLimit = 2 * time.Minute
+)
+
+func newSlopes() *cobra.Command {
+	var options slopes.Options
+	cmd := &cobra.Command{
+		Use:   "slopes",
+		Short: "Measure how the cost of each role grows with the size of a fleet",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
+			defer stop()
+			return runSlopes(ctx, cmd, options)
+		},
+	}
+	addFolders(cmd, &options.Bin, &options.Out, "out/slopes")
+	cmd.Flags().DurationVar(&options.Span, "span", defaultSpan, "how long each rate is measured")
+	cmd.Flags().DurationVar(&options.Limit, "limit", defaultLimit, "bound of each measurement")
+	cmd.Flags().StringSliceVar(&options.Only, "only", nil, "measurements to run: renewals, announcements, journal, inventory")
+	return cmd
+}
+
+func runSlopes(ctx context.Context, cmd *cobra.Command, options slopes.Options) error {
+	if err := emptyFolder(options.Out); err != nil {
+		return err
+	}
+	return slopes.Run(ctx, cmd.OutOrStdout(), options)
+}
--- /dev/null
+++ b/bench/internal/slopes/run.go
@@ -0,0 +1,92 @@
+package slopes
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+// ResultsFile is the name of the file with all series.
+const ResultsFile = "slopes.json"
+
+// Options says where to find the programs and how long to look.
+type Options struct {
+	Bin, Out string
+	// Span is how long each rate is measured.
+	Span time.Duration
+	// Limit bounds each measurement of all of its sizes.
+	Limit time.Duration
+	// Only names the measurements to run; none means all.
+	Only []string
+}
+
+type step struct {
+	name string
+	run  func(context.Context, Options) ([]Series, error)
+}
+
+var steps = []step{
+	{"renewals", func(ctx context.Context, o Options) ([]Series, error) { return Renewals(ctx, o, []int{50, 200, 600}) }},
+	{"announcements", func(ctx context.Context, o Options) ([]Series, error) {
+		return Announcements(ctx, o, []int{90, 450, 1400})
+	}},
+	{"journal", func(ctx context.Context, o Options) ([]Series, error) { return Journal(ctx, o, []int{3, 5, 7}) }},
+	{"inventory", func(context.Context, Options) ([]Series, error) { return Deltas([]int{90, 450, 1400}), nil }},
+}
+
+// Run measures, prints a table as it goes and writes all series as JSON; a failed measurement does not stop the others.
+func Run(ctx context.Context, w io.Writer, options Options) error {
+	results := struct {
+		Span   string   `json:"span"`
+		Series []Series `json:"series"`
+		Failed []string `json:"failed"`
+	}{Span: options.Span.String(), Failed: []string{}}
+	for _, s := range steps {
+		if len(options.Only) > 0 && !strings.Contains(strings.Join(options.Only, " "), s.name) {
+			continue
+		}
+		limited, cancel := context.WithTimeout(ctx, options.Limit)
+		series, err := s.run(limited, options)
+		cancel()
+		if err != nil {
+			fmt.Fprintf(w, "%s failed: %v\n", s.name, err)
+			results.Failed = append(results.Failed, s.name)
+			continue
+		}
+		results.Series = append(results.Series, series...)
+		if err := Table(w, series); err != nil {
+			return err
+		}
+	}
+	data, err := json.MarshalIndent(results, "", "  ")
+	if err != nil {
+		return fmt.Errorf("slopes: %w", err)
+	}
+	if err := os.WriteFile(filepath.Join(options.Out, ResultsFile), data, 0o640); err != nil {
+		return fmt.Errorf("slopes: %w", err)
+	}
+	if len(results.Failed) > 0 {
+		return fmt.Errorf("slopes: not measured: %s", strings.Join(results.Failed, ", "))
+	}
+	return nil
+}
+
+// Table prints series with their points, lines and residuals.
+func Table(w io.Writer, series []Series) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, s := range series {
+		var points []string
+		for _, p := range s.Points {
+			points = append(points, fmt.Sprintf("%g: %.4g", p.Size, p.Value))
+		}
+		fmt.Fprintf(table, "%s\t%s\t%s\t%.4g per %s\t+ %.4g\tresidual %.3g\n",
+			s.Measurement, s.Value, strings.Join(points, "  "), s.Slope, s.Per, s.Intercept, s.Residual)
+	}
+	return table.Flush()
+}
--- a/bench/relay/relay_test.go
+++ b/bench/relay/relay_test.go
@@ -154,3 +154,39 @@
 		t.Error("the held connection got an answer")
 	}
 }
+
+func TestUDPCountsPacketsOfBothSides(t *testing.T) {
+	target, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.2:0")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = target.Close() }()
+	to := netip.MustParseAddrPort(target.LocalAddr().String())
+	r, err := relay.ListenUDP(newNetwork(), netip.MustParseAddrPort("127.0.0.1:0"), to)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = r.Close() }()
+	client, err := net.DialUDP("udp", nil, net.UDPAddrFromAddrPort(r.Address()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = client.Close() }()
+	buf := make([]byte, 16)
+	if _, err := client.Write([]byte("abc")); err != nil {
+		t.Fatal(err)
+	}
+	_, from, err := target.ReadFromUDPAddrPort(buf)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := target.WriteToUDPAddrPort([]byte("defgh"), from); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := client.Read(buf); err != nil {
+		t.Fatal(err)
+	}
+	if packets, bytes := r.Traffic(); packets != 2 || bytes != 8 {
+		t.Errorf("counted %d packets and %d bytes, want 2 and 8", packets, bytes)
+	}
+}
--- a/bench/relay/udp.go
+++ b/bench/relay/udp.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -15,6 +16,8 @@
 	network *Network
 	socket  *net.UDPConn
 	target  netip.AddrPort
+	// packets and bytes count what came from either side.
+	packets, bytes atomic.Uint64
 
 	mu       sync.Mutex
 	sessions map[netip.AddrPort]*net.UDPConn
@@ -34,6 +37,17 @@
 	return r, nil
 }
 
+// Address returns where the relay listens.
+func (r *UDP) Address() netip.AddrPort { return r.socket.LocalAddr().(*net.UDPAddr).AddrPort() }
+
+// Traffic returns how many packets and bytes of payload have come from both sides.
+func (r *UDP) Traffic() (packets, bytes uint64) { return r.packets.Load(), r.bytes.Load() }
+
+func (r *UDP) count(n int) {
+	r.packets.Add(1)
+	r.bytes.Add(uint64(n))
+}
+
 // ForgetSessions makes all present senders silent for good; packets from new ports work.
 func (r *UDP) ForgetSessions() {
 	r.mu.Lock()
@@ -71,6 +85,7 @@
 		if session == nil {
 			continue
 		}
+		r.count(n)
 		packet := append([]byte(nil), buf[:n]...)
 		r.pass(sender.Addr(), func() { _, _ = session.Write(packet) })
 	}
@@ -106,6 +121,7 @@
 			}
 			continue
 		}
+		r.count(n)
 		packet := append([]byte(nil), buf[:n]...)
 		r.pass(sender.Addr(), func() { _, _ = r.socket.WriteToUDPAddrPort(packet, sender) })
 	}
