lentil-bench slopes measures callers and statements of an entry

Change: idle callers at 1,000, 5,000 and 10,000 on one entry, and processor time of statements after a warm-up.

--- a/bench/internal/command/slopes.go
+++ b/bench/internal/command/slopes.go
@@ -32,7 +32,7 @@
 	addFolders(cmd, &options.Bin, &options.Out, "out/slopes")
 	cmd.Flags().DurationVar(&options.Span, "span", defaultSpan, "how long each rate is measured")
 	cmd.Flags().DurationVar(&options.Limit, "limit", defaultLimit, "bound of each measurement")
-	cmd.Flags().StringSliceVar(&options.Only, "only", nil, "measurements to run: renewals, announcements, journal, inventory")
+	cmd.Flags().StringSliceVar(&options.Only, "only", nil, "measurements to run: renewals, announcements, journal, callers, inventory")
 	return cmd
 }
 
--- a/bench/internal/slopes/plant.go
+++ b/bench/internal/slopes/plant.go
@@ -185,9 +185,15 @@
 }
 
 func measure(i *fleet.Instance) (usage, error) {
-	u := usage{at: time.Now()}
+	u, err := readUsage(i.PID())
 	u.packets, u.bytes = i.PeerRelay.Traffic()
-	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", i.PID()))
+	return u, err
+}
+
+// readUsage returns the processor time and memory of a process.
+func readUsage(pid int) (usage, error) {
+	u := usage{at: time.Now()}
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
 	if err != nil {
 		return u, fmt.Errorf("slopes: %w", err)
 	}
@@ -195,7 +201,7 @@
 	user, _ := strconv.Atoi(fields[11])
 	system, _ := strconv.Atoi(fields[12])
 	u.processor = time.Duration(user+system) * time.Second / clockTicks
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", i.PID()))
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
 		return u, fmt.Errorf("slopes: %w", err)
 	}
--- a/bench/internal/slopes/run.go
+++ b/bench/internal/slopes/run.go
@@ -37,6 +37,9 @@
 		return Announcements(ctx, o, []int{90, 450, 1400})
 	}},
 	{"journal", func(ctx context.Context, o Options) ([]Series, error) { return Journal(ctx, o, []int{3, 5, 7}) }},
+	{"callers", func(ctx context.Context, o Options) ([]Series, error) {
+		return Callers(ctx, o, []int{1000, 5000, 10000}, []int{8000, 16000, 32000})
+	}},
 	{"inventory", func(context.Context, Options) ([]Series, error) { return Deltas([]int{90, 450, 1400}), nil }},
 }
 
