A new leader probes a primary that it never heard

The leader that follows one that was lost together with a primary knew no address to probe, and waited 1.2 s for an announcement.

--- a/control/internal/failover/detect.go
+++ b/control/internal/failover/detect.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lentilwind.dev/control/internal/monitor"
 	"lentilwind.dev/instance/events"
 	"lentilwind.dev/lentilwind/failover"
 	"lentilwind.dev/lentilwind/group"
@@ -24,14 +25,20 @@
 	return server.Heard
 }
 
-// probe tries a new connection; a server that this leader has not heard of has no address and counts as silent.
+// probe tries a new connection; a server whose address is not known counts as silent.
 func (l *leadership) probe(id group.ServerID) {
-	target, found := l.target(id)
+	target, heard := l.target(id)
+	if !heard {
+		target = l.journalled(id)
+	}
 	l.spawn(func() {
 		outcome := failover.ProbeSilent
-		if found {
+		if target.Address != "" {
 			outcome = l.cfg.Monitor.Probe(l.ctx, target)
 		}
+		if !heard && outcome == failover.ProbeAnswered {
+			outcome = failover.ProbeSilent
+		}
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		if !l.ended {
@@ -64,3 +71,18 @@
 		}
 	}
 }
+
+// journalled returns where a server was when it was made a primary, for a leader that has not heard of it.
+//
+// The address may be out of date, so only a refusal there counts. If it misleads, the server is one that most data centres
+// can't reach either, and what follows is a failover as any other.
+func (l *leadership) journalled(id group.ServerID) monitor.Target {
+	state := l.cfg.Ledger.State()
+	for slot := range l.slots[id.Service] {
+		of := group.ID{Service: id.Service, Slot: group.Slot(slot)}
+		if state.Group(of).Primary == id.Server {
+			return monitor.Target{ID: id, Address: state.PrimaryAddress(of)}
+		}
+	}
+	return monitor.Target{}
+}
--- a/control/internal/failover/fleet_test.go
+++ b/control/internal/failover/fleet_test.go
@@ -65,6 +65,7 @@
 	t         testing.TB
 	ctx       context.Context
 	store     *store
+	detector  decisions.DetectorConfig
 	processes []*process
 	nodes     map[group.Server]*node
 
@@ -100,9 +101,14 @@
 }
 
 func startFleet(t testing.TB, processes int) *fleet {
+	t.Helper()
+	return startFleetWith(t, processes, decisions.DefaultDetectorConfig())
+}
+
+func startFleetWith(t testing.TB, processes int, detector decisions.DetectorConfig) *fleet {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
-	f := &fleet{t: t, ctx: ctx, store: newStore(), nodes: map[group.Server]*node{}, hidden: map[group.Server]bool{}}
+	f := &fleet{t: t, ctx: ctx, detector: detector, store: newStore(), nodes: map[group.Server]*node{}, hidden: map[group.Server]bool{}}
 	t.Cleanup(f.stop)
 	g, runCtx := errgroup.WithContext(ctx)
 	for range processes {
@@ -135,7 +141,7 @@
 		Ledger: p.ledger, Roster: p.roster, Monitor: databases, Timer: timers, Events: recorder,
 		Log:      &log.Logger{Level: log.PanicLevel},
 		Group:    decisions.DefaultConfig(),
-		Detector: decisions.DefaultDetectorConfig(),
+		Detector: f.detector,
 		Affinity: affinity.DefaultConfig(),
 	})
 	g.Go(func() error { return timers.Run(ctx) })
--- a/control/internal/failover/perform.go
+++ b/control/internal/failover/perform.go
@@ -124,7 +124,11 @@
 func (l *leadership) propose(e failover.Journal) failover.Event {
 	ctx, cancel := context.WithTimeout(l.ctx, proposeTimeout)
 	defer cancel()
-	command := catalog.Command{SetGroup: &catalog.SetGroup{Expect: e.Expect, Configuration: e.Next}}
+	change := &catalog.SetGroup{Expect: e.Expect, Configuration: e.Next}
+	if primary, found := l.target(group.ServerID{Service: e.Next.Group.Service, Server: e.Next.Primary}); found {
+		change.Address = primary.Address
+	}
+	command := catalog.Command{SetGroup: change}
 	result, err := l.cfg.Ledger.Propose(ctx, command)
 	if err != nil || result.Configuration == nil {
 		return failover.Journalled{Outcome: failover.OutcomeUnknown}
--- a/control/internal/failover/service_test.go
+++ b/control/internal/failover/service_test.go
@@ -8,6 +8,7 @@
 
 	"lentilwind.dev/bench/database"
 	"lentilwind.dev/lentilwind/catalog"
+	decisions "lentilwind.dev/lentilwind/failover"
 	"lentilwind.dev/lentilwind/group"
 	"lentilwind.dev/lentilwind/inventory"
 	"lentilwind.dev/lentilwind/protocol"
@@ -175,6 +176,21 @@
 	}
 }
 
+func TestNewLeaderProbesAPrimaryThatItNeverHeard(t *testing.T) {
+	detector := decisions.DefaultDetectorConfig()
+	// Only a refused probe can tell that the primary is dead.
+	detector.SilentFor, detector.StuckFor = time.Hour, time.Hour
+	f := startFleetWith(t, 2, detector)
+	to := f.awaitPrimary(0)
+	f.awaitFollowers()
+	c := f.startCaller()
+	f.await("writes", func() bool { return c.count() >= 20 })
+	f.kill(to.Primary)
+	f.store.lead(f.processes[1].ledger)
+	c.awaitGap(t, to.Term)
+	c.checkNothingLost(t)
+}
+
 func TestNoMajorityIsRefused(t *testing.T) {
 	f, c, to := calm(t, 1)
 	for _, name := range names {
--- a/lentilwind/catalog/catalog_test.go
+++ b/lentilwind/catalog/catalog_test.go
@@ -93,7 +93,10 @@
 	apply(&state, change("a", 0, 1))
 	apply(&state, change("b", 0, 2))
 	apply(&state, catalog.Command{RecordFailure: &catalog.RecordFailure{Servers: []group.Server{"y", "x", "y"}, At: time.Unix(5, 0)}})
-	apply(&state, catalog.Command{SetGroup: &catalog.SetGroup{Configuration: group.Configuration{Term: 1, Primary: "p"}}})
+	apply(&state, catalog.Command{SetGroup: &catalog.SetGroup{
+		Configuration: group.Configuration{Term: 1, Primary: "p"}, Address: "127.0.0.1:1",
+	}})
+	apply(&state, catalog.Command{SetGroup: &catalog.SetGroup{Expect: 1, Configuration: group.Configuration{Term: 2}}})
 	data, err := state.Snapshot()
 	if err != nil {
 		t.Fatal(err)
@@ -109,6 +112,9 @@
 	if restored.FailuresTogether("x", "y") != 1 || restored.Failures("x") != 1 || restored.Inventory() == nil {
 		t.Errorf("parts are missing in the restored state")
 	}
+	if address := restored.PrimaryAddress(group.ID{}); address != "127.0.0.1:1" {
+		t.Errorf("the last primary's address is %q", address)
+	}
 	first := apply(&state, change("b", 0, 2))
 	second := apply(&restored, change("b", 0, 2))
 	if diff := cmp.Diff(first.Record.Revision, second.Record.Revision); diff != "" || second.Outcome != catalog.OutcomeConflict {
--- a/lentilwind/catalog/command.go
+++ b/lentilwind/catalog/command.go
@@ -31,6 +31,8 @@
 type SetGroup struct {
 	Expect        group.Term          `cbor:"1,keyasint"`
 	Configuration group.Configuration `cbor:"2,keyasint"`
+	// Address is where the named primary took connections, so that a later leader can probe one that it never heard.
+	Address string `cbor:"3,keyasint,omitempty"`
 }
 
 // RecordFailure notes servers that vanished together.
--- a/lentilwind/catalog/snapshot.go
+++ b/lentilwind/catalog/snapshot.go
@@ -24,6 +24,12 @@
 	Operations []savedOperation           `cbor:"5,keyasint"`
 	Servers    []savedServer              `cbor:"6,keyasint"`
 	Pairs      []savedPair                `cbor:"7,keyasint"`
+	Addresses  []savedAddress             `cbor:"8,keyasint,omitempty"`
+}
+
+type savedAddress struct {
+	Group   group.ID `cbor:"1,keyasint"`
+	Address string   `cbor:"2,keyasint"`
 }
 
 type savedOperation struct {
@@ -63,6 +69,9 @@
 		count := s.failures.pairs[p]
 		saved.Pairs = append(saved.Pairs, savedPair{First: p.first, Second: p.second, Count: count.count, Last: count.last})
 	}
+	for _, id := range slices.SortedFunc(maps.Keys(s.addresses), group.ID.Compare) {
+		saved.Addresses = append(saved.Addresses, savedAddress{Group: id, Address: s.addresses[id]})
+	}
 	data, err := protocol.Encode(saved)
 	if err != nil {
 		return nil, fmt.Errorf("catalog: snapshot: %w", err)
@@ -90,6 +99,10 @@
 	for _, configuration := range saved.Groups {
 		s.groups[configuration.Group] = configuration
 	}
+	s.addresses = make(map[group.ID]string, len(saved.Addresses))
+	for _, saved := range saved.Addresses {
+		s.addresses[saved.Group] = saved.Address
+	}
 	s.restoreOperations(saved.Operations)
 	s.restoreFailures(saved)
 	return s, nil
--- a/lentilwind/catalog/state.go
+++ b/lentilwind/catalog/state.go
@@ -14,10 +14,12 @@
 
 // State is one immutable version of the replicated state; the zero value is the empty state.
 type State struct {
-	index      journal.Index
-	parsed     *inventory.Inventory
-	records    []protocol.InventoryRecord
-	groups     map[group.ID]group.Configuration
+	index   journal.Index
+	parsed  *inventory.Inventory
+	records []protocol.InventoryRecord
+	groups  map[group.ID]group.Configuration
+	// addresses holds where the primary of each group took connections when it was named.
+	addresses  map[group.ID]string
 	operations operationLog
 	failures   failureCounts
 }
@@ -65,6 +67,9 @@
 	return group.Configuration{Group: id}
 }
 
+// PrimaryAddress returns where the primary of a group took connections when it was named, empty when that is not known.
+func (s *State) PrimaryAddress(id group.ID) string { return s.addresses[id] }
+
 // Groups returns the configurations of all groups that were ever set, ordered by group.
 func (s *State) Groups() []group.Configuration {
 	return slices.SortedFunc(maps.Values(s.groups), func(a, b group.Configuration) int {
@@ -119,5 +124,15 @@
 	maps.Copy(groups, s.groups)
 	groups[wanted.Group] = wanted
 	s.groups = groups
+	s.setAddress(wanted.Group, command.Address)
 	return Result{Outcome: OutcomeAccepted, Configuration: &wanted}
 }
+
+// setAddress changes a copy of the map; a term without a primary keeps the address of the last one.
+func (s *State) setAddress(id group.ID, address string) {
+	if address == "" || s.addresses[id] == address {
+		return
+	}
+	s.addresses = cloneMap(s.addresses)
+	s.addresses[id] = address
+}
