The check of planned stops looks up a stop's service once

Cause: a run of 28 s was judged for two minutes, because each request searched all observations for the service of each stop (seen in a stack of the running checker). Change: the service and the nearness of a real fault are found once for each stop; what counts is unchanged.

--- a/bench/checker/fault.go
+++ b/bench/checker/fault.go
@@ -92,8 +92,12 @@
 		if f.Kind != FaultStop && f.Kind != FaultLeave {
 			continue
 		}
+		service := j.serviceOf(f.Target)
+		if f.Kind == FaultLeave && j.nearFault(&f) {
+			continue
+		}
 		for _, r := range j.requests {
-			if j.touched(&f, r) && j.cutOff(r) {
+			if j.cutOff(r) && touched(&f, service, r) {
 				n += j.find("cutOffRequests", r.ID, fmt.Sprintf("ended with %q in the planned stop of %s", r.Code+" "+r.Message, f.Target))
 			}
 		}
@@ -102,13 +106,11 @@
 }
 
 // touched tells whether a request ran while what served it was being stopped.
-//
-// Requests of a leaving server's service are left out near a real fault, which may leave outcomes unknown.
-func (j *judge) touched(f *history.Fault, r *history.Request) bool {
+func touched(f *history.Fault, service group.Service, r *history.Request) bool {
 	if f.Kind == FaultStop {
 		return r.Entry == f.Target && overlap(r, f.Time, f.Done)
 	}
-	return r.Service == j.serviceOf(f.Target) && overlap(r, f.Time, f.Time.Add(faultWindow)) && !j.nearFault(f)
+	return r.Service == service && overlap(r, f.Time, f.Time.Add(faultWindow))
 }
 
 func overlap(r *history.Request, from, to time.Time) bool {
@@ -125,6 +127,7 @@
 	return ""
 }
 
+// nearFault tells whether a real fault, which may leave outcomes unknown, stands near a planned stop.
 func (j *judge) nearFault(f *history.Fault) bool {
 	return slices.ContainsFunc(j.run.Faults, func(other history.Fault) bool {
 		distance := other.Time.Sub(f.Time).Abs()
