--- a/lentilwind/route/policy.go
+++ b/lentilwind/route/policy.go
@@ -71,7 +71,7 @@
 }
 
 // DefaultPolicy is the policy of an entry.
-var DefaultPolicy = BriefWait{Limit: 20 * time.Millisecond, Step: 5 * time.Millisecond}
+var DefaultPolicy = BriefWait{Limit: 60 * time.Millisecond, Step: 5 * time.Millisecond}
 
 func (PrimaryOnly) decide(o *Options, _ time.Time) Choice { return o.primary() }
 
