--- a/bench/relay/relay_test.go
+++ b/bench/relay/relay_test.go
@@ -120,3 +120,73 @@
 		t.Error("a new connection got no answer")
 	}
 }
+
+func TestCloseEndsConnectionsThatAreHeldBack(t *testing.T) {
+	network := newNetwork()
+	r, address := startTCP(t, network)
+	network.Set("a", "b", relay.Fault{Cut: true})
+	held := dial(t, address)
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, 2)}}
+	later, err := dialer.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = later.Close() }()
+	if !exchange(t, later, 5*time.Second) {
+		t.Fatal("no answer within a zone, so the held connection may not be accepted yet")
+	}
+	closed := make(chan error, 1)
+	go func() { closed <- r.Close() }()
+	if _, err := later.Read(make([]byte, 1)); err == nil {
+		t.Error("an open connection outlived the relay")
+	}
+	network.Heal()
+	select {
+	case err := <-closed:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(5 * time.Second):
+		_ = held.Close()
+		t.Fatal("the relay does not close")
+	}
+	if _, err := held.Read(make([]byte, 1)); err == nil {
+		t.Error("the held connection got an answer")
+	}
+}
+
+func TestUDPCountsPacketsOfBothSides(t *testing.T) {
+	target, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.2:0")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = target.Close() }()
+	to := netip.MustParseAddrPort(target.LocalAddr().String())
+	r, err := relay.ListenUDP(newNetwork(), netip.MustParseAddrPort("127.0.0.1:0"), to)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = r.Close() }()
+	client, err := net.DialUDP("udp", nil, net.UDPAddrFromAddrPort(r.Address()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = client.Close() }()
+	buf := make([]byte, 16)
+	if _, err := client.Write([]byte("abc")); err != nil {
+		t.Fatal(err)
+	}
+	_, from, err := target.ReadFromUDPAddrPort(buf)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := target.WriteToUDPAddrPort([]byte("defgh"), from); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := client.Read(buf); err != nil {
+		t.Fatal(err)
+	}
+	if packets, bytes := r.Traffic(); packets != 2 || bytes != 8 {
+		t.Errorf("counted %d packets and %d bytes, want 2 and 8", packets, bytes)
+	}
+}
--- a/control/internal/failover/perform.go
+++ b/control/internal/failover/perform.go
@@ -50,6 +50,7 @@
 	case failover.Note:
 		l.note(id, e)
 	case failover.Journal:
+		g.appointed = e.Next
 		l.once(call{id, e.Next.Primary, actionJournal, e.Next.Term}, func() failover.Event { return l.propose(e) })
 	case failover.Fence:
 		l.ask(call{id, e.Server, actionFence, e.Term}, func(target monitor.Target) failover.Event {
@@ -123,7 +124,11 @@
 func (l *leadership) propose(e failover.Journal) failover.Event {
 	ctx, cancel := context.WithTimeout(l.ctx, proposeTimeout)
 	defer cancel()
-	command := catalog.Command{SetGroup: &catalog.SetGroup{Expect: e.Expect, Configuration: e.Next}}
+	change := &catalog.SetGroup{Expect: e.Expect, Configuration: e.Next}
+	if primary, found := l.target(group.ServerID{Service: e.Next.Group.Service, Server: e.Next.Primary}); found {
+		change.Address = primary.Address
+	}
+	command := catalog.Command{SetGroup: change}
 	result, err := l.cfg.Ledger.Propose(ctx, command)
 	if err != nil || result.Configuration == nil {
 		return failover.Journalled{Outcome: failover.OutcomeUnknown}
--- a/control/internal/failover/service_test.go
+++ b/control/internal/failover/service_test.go
@@ -8,8 +8,10 @@
 
 	"lentilwind.dev/bench/database"
 	"lentilwind.dev/lentilwind/catalog"
+	decisions "lentilwind.dev/lentilwind/failover"
 	"lentilwind.dev/lentilwind/group"
 	"lentilwind.dev/lentilwind/inventory"
+	"lentilwind.dev/lentilwind/protocol"
 )
 
 // gapLimit is the longest that a change of primary may take.
@@ -174,6 +176,21 @@
 	}
 }
 
+func TestNewLeaderProbesAPrimaryThatItNeverHeard(t *testing.T) {
+	detector := decisions.DefaultDetectorConfig()
+	// Only a refused probe can tell that the primary is dead.
+	detector.SilentFor, detector.StuckFor = time.Hour, time.Hour
+	f := startFleetWith(t, 2, detector)
+	to := f.awaitPrimary(0)
+	f.awaitFollowers()
+	c := f.startCaller()
+	f.await("writes", func() bool { return c.count() >= 20 })
+	f.kill(to.Primary)
+	f.store.lead(f.processes[1].ledger)
+	c.awaitGap(t, to.Term)
+	c.checkNothingLost(t)
+}
+
 func TestNoMajorityIsRefused(t *testing.T) {
 	f, c, to := calm(t, 1)
 	for _, name := range names {
@@ -264,3 +281,20 @@
 		})
 	}
 }
+
+func TestPrimariesOfANewFleetAreSpread(t *testing.T) {
+	f, _, _ := calm(t, 1)
+	loads := make(map[group.Server]int)
+	f.await("a primary of each group", func() bool {
+		clear(loads)
+		for _, configuration := range f.processes[0].roster.Topology(protocol.TopologyVersion{}).Groups {
+			if configuration.Primary != "" {
+				loads[configuration.Primary]++
+			}
+		}
+		return loads[names[0]]+loads[names[1]]+loads[names[2]] == len(names)
+	})
+	if len(loads) != len(names) {
+		t.Errorf("the primaries of %d groups are %v", len(names), loads)
+	}
+}
--- a/lentilwind/catalog/command.go
+++ b/lentilwind/catalog/command.go
@@ -31,6 +31,8 @@
 type SetGroup struct {
 	Expect        group.Term          `cbor:"1,keyasint"`
 	Configuration group.Configuration `cbor:"2,keyasint"`
+	// Address is where the named primary took connections, so that a later leader can probe one that it never heard.
+	Address string `cbor:"3,keyasint,omitempty"`
 }
 
 // RecordFailure notes servers that vanished together.
@@ -50,6 +52,8 @@
 	OutcomeConflict Outcome = "conflict"
 	// OutcomeInvalid means that the command can never be accepted.
 	OutcomeInvalid Outcome = "invalid"
+	// OutcomeUnreadable means that this build refuses what another one has accepted; the process must not go on.
+	OutcomeUnreadable Outcome = "unreadable"
 )
 
 // Result is what a command led to; it is the same on every replica.
