--- a/control/internal/monitor/connection.go
+++ b/control/internal/monitor/connection.go
@@ -2,16 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/netip"
-	"strconv"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
 
 	"lentilwind.dev/instance/dialer"
-	"lentilwind.dev/lentilwind/group"
 )
 
 const closeTimeout = 100 * time.Millisecond
@@ -41,55 +38,3 @@
 	defer cancel()
 	_ = conn.Close(ctx)
 }
-
-// query runs a statement that answers rows of statuses.
-func query(ctx context.Context, conn *pgconn.PgConn, sql string) ([]group.Status, error) {
-	results, err := conn.Exec(ctx, sql).ReadAll()
-	if err != nil {
-		return nil, err
-	}
-	if len(results) != 1 {
-		return nil, fmt.Errorf("%d results to one statement", len(results))
-	}
-	statuses := make([]group.Status, 0, len(results[0].Rows))
-	for _, row := range results[0].Rows {
-		status, err := parseRow(row)
-		if err != nil {
-			return nil, err
-		}
-		statuses = append(statuses, status)
-	}
-	return statuses, nil
-}
-
-const statusColumns = 7
-
-// parseRow reads slot, role, term, fenced, received, applied and ageMs.
-func parseRow(row [][]byte) (group.Status, error) {
-	if len(row) != statusColumns {
-		return group.Status{}, fmt.Errorf("a status row of %d columns", len(row))
-	}
-	role := group.Role(row[1])
-	if role != group.RolePrimary && role != group.RoleReplica {
-		return group.Status{}, fmt.Errorf("a status row with role %q", role)
-	}
-	var numbers [statusColumns]uint64
-	var problems []error
-	for _, i := range []int{0, 2, 3, 4, 5, 6} {
-		n, err := strconv.ParseUint(string(row[i]), 10, 64)
-		numbers[i] = n
-		problems = append(problems, err)
-	}
-	if err := errors.Join(problems...); err != nil {
-		return group.Status{}, fmt.Errorf("a status row: %w", err)
-	}
-	return group.Status{
-		Slot:     group.Slot(numbers[0]),
-		Role:     role,
-		Term:     group.Term(numbers[2]),
-		Fenced:   group.Term(numbers[3]),
-		Received: group.Position(numbers[4]),
-		Applied:  group.Position(numbers[5]),
-		Age:      time.Duration(numbers[6]) * time.Millisecond,
-	}, nil
-}
--- a/control/internal/monitor/monitor.go
+++ b/control/internal/monitor/monitor.go
@@ -12,6 +12,7 @@
 
 	"github.com/jackc/pgx/v5/pgconn"
 
+	"lentilwind.dev/instance/dialer"
 	"lentilwind.dev/lentilwind/failover"
 	"lentilwind.dev/lentilwind/group"
 )
@@ -104,7 +105,7 @@
 		return failover.ProbeSilent
 	}
 	defer closeConn(conn)
-	if _, err := query(ctx, conn, "SELECT * FROM lentilwind_status()"); err != nil {
+	if _, err := dialer.Statuses(ctx, conn, dialer.StatusQuery); err != nil {
 		return failover.ProbeSilent
 	}
 	return failover.ProbeAnswered
@@ -168,12 +169,12 @@
 
 // askOn sends a request on a connection and keeps the connection if it is still usable.
 func (s *server) askOn(ctx context.Context, conn *pgconn.PgConn, slot group.Slot, sql string) Answer {
-	statuses, err := query(ctx, conn, sql)
+	statuses, err := dialer.Statuses(ctx, conn, sql)
 	var refusal *pgconn.PgError
 	refused := errors.As(err, &refusal) && refusal.Code == codeWrongState
 	if refused {
 		var statusErr error
-		statuses, statusErr = query(ctx, conn, "SELECT * FROM lentilwind_status()")
+		statuses, statusErr = dialer.Statuses(ctx, conn, dialer.StatusQuery)
 		if statusErr != nil {
 			err, refused = statusErr, false
 		}
--- a/entry/internal/positions/monitor.go
+++ b/entry/internal/positions/monitor.go
@@ -112,7 +112,7 @@
 	askContext, cancel := context.WithTimeout(ctx, waitLimit+answerTimeout)
 	defer cancel()
 	sent := time.Now()
-	statuses, err := ask(askContext, conn, sql)
+	statuses, err := dialer.Statuses(askContext, conn, sql)
 	if err != nil {
 		return err
 	}
@@ -127,7 +127,7 @@
 func (m *monitor) next() (sql string, delay time.Duration) {
 	service := m.keeper.cfg.Directory.Snapshot().Service(m.service)
 	if service == nil {
-		return statusQuery(), idlePeriod
+		return dialer.StatusQuery, idlePeriod
 	}
 	fresh, active := false, false
 	now := time.Since(m.keeper.origin)
@@ -147,11 +147,11 @@
 	}
 	switch {
 	case fresh:
-		return statusQuery(), 0
+		return dialer.StatusQuery, 0
 	case active:
-		return statusQuery(), activePeriod
+		return dialer.StatusQuery, activePeriod
 	}
-	return statusQuery(), idlePeriod
+	return dialer.StatusQuery, idlePeriod
 }
 
 func (m *monitor) silent(now time.Time) time.Duration {
--- a/lentilctl/internal/command/control.go
+++ b/lentilctl/internal/command/control.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"os"
@@ -8,6 +9,7 @@
 	"github.com/spf13/cobra"
 
 	"lentilwind.dev/instance/settings"
+	"lentilwind.dev/lentilctl/internal/client"
 	"lentilwind.dev/lentilctl/internal/failure"
 	"lentilwind.dev/lentilctl/internal/output"
 	"lentilwind.dev/lentilwind/inventory"
@@ -25,18 +27,13 @@
 		Use:   "status",
 		Short: "Show the control processes",
 		Args:  exactArgs(0),
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			ctx, cancel, c, err := a.connect(cmd.Context())
-			if err != nil {
-				return err
-			}
-			defer cancel()
+		RunE: a.online(func(ctx context.Context, c *client.Client, _ []string) error {
 			status, err := c.Status(ctx)
 			if err != nil {
 				return err
 			}
 			return a.printer.Print(status.Members, membersTable(status.Members))
-		},
+		}),
 	}
 }
 
@@ -109,12 +106,7 @@
 		Use:   "snapshot FILE",
 		Short: "Save control's state; \"lentil-control restore\" starts a new control from it",
 		Args:  exactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			ctx, cancel, c, err := a.connect(cmd.Context())
-			if err != nil {
-				return err
-			}
-			defer cancel()
+		RunE: a.online(func(ctx context.Context, c *client.Client, args []string) error {
 			data, err := c.Snapshot(ctx)
 			if err != nil {
 				return err
@@ -126,7 +118,7 @@
 				File  string `json:"file"`
 				Bytes int    `json:"bytes"`
 			}{args[0], len(data)}, output.Table{Rows: [][]string{{"saved", args[0]}}})
-		},
+		}),
 	}
 }
 
--- a/lentilctl/internal/command/inventory.go
+++ b/lentilctl/internal/command/inventory.go
@@ -157,12 +157,7 @@
 		Use:   "show",
 		Short: "Print the accepted document, or an earlier one",
 		Args:  exactArgs(0),
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			ctx, cancel, c, err := a.connect(cmd.Context())
-			if err != nil {
-				return err
-			}
-			defer cancel()
+		RunE: a.online(func(ctx context.Context, c *client.Client, _ []string) error {
 			record, err := fetch(ctx, c, inventory.Revision(revision))
 			if err != nil {
 				return err
@@ -173,7 +168,7 @@
 			fmt.Fprintf(a.out, "// Revision %d, accepted %s from %s.\n%s", record.Revision,
 				record.Accepted.Format(time.RFC3339), record.Operator, record.Document)
 			return nil
-		},
+		}),
 	}
 	cmd.Flags().Uint64Var(&revision, "revision", 0, "revision to print; the newest by default")
 	return cmd
@@ -192,12 +187,7 @@
 		Use:   "history",
 		Short: "List the accepted revisions",
 		Args:  exactArgs(0),
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			ctx, cancel, c, err := a.connect(cmd.Context())
-			if err != nil {
-				return err
-			}
-			defer cancel()
+		RunE: a.online(func(ctx context.Context, c *client.Client, _ []string) error {
 			records, err := c.History(ctx)
 			if err != nil {
 				return err
@@ -209,6 +199,6 @@
 				})
 			}
 			return a.printer.Print(records, table)
-		},
+		}),
 	}
 }
--- a/lentilctl/internal/command/root.go
+++ b/lentilctl/internal/command/root.go
@@ -105,6 +105,18 @@
 	return ctx, cancel, c, nil
 }
 
+// online returns the body of a command that talks to control.
+func (a *app) online(run func(ctx context.Context, c *client.Client, args []string) error) func(*cobra.Command, []string) error {
+	return func(cmd *cobra.Command, args []string) error {
+		ctx, cancel, c, err := a.connect(cmd.Context())
+		if err != nil {
+			return err
+		}
+		defer cancel()
+		return run(ctx, c, args)
+	}
+}
+
 func (a *app) printError(w io.Writer, err error) {
 	var operator *protocol.OperatorError
 	var refused *jsonc.Error
--- a/lentilctl/internal/command/status.go
+++ b/lentilctl/internal/command/status.go
@@ -1,12 +1,14 @@
 package command
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
 
+	"lentilwind.dev/lentilctl/internal/client"
 	"lentilwind.dev/lentilctl/internal/output"
 	"lentilwind.dev/lentilwind/protocol"
 )
@@ -16,18 +18,13 @@
 		Use:   "status",
 		Short: "Show control, entries, backend servers and database groups",
 		Args:  exactArgs(0),
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			ctx, cancel, c, err := a.connect(cmd.Context())
-			if err != nil {
-				return err
-			}
-			defer cancel()
+		RunE: a.online(func(ctx context.Context, c *client.Client, _ []string) error {
 			status, err := c.Status(ctx)
 			if err != nil {
 				return err
 			}
 			return a.printer.Print(status, statusTables(status)...)
-		},
+		}),
 	}
 }
 
