Writes are confirmed until the new term has a primary

Ruled out: writes lost by the handover; the new primary held them. Change: a term without a primary ends no wait; waiting writes are reported as running. Conclusion: a write that a majority holds before any promise is in every later log, so it may be acknowledged.

--- a/entry/internal/command/entry.go
+++ b/entry/internal/command/entry.go
@@ -216,17 +216,17 @@
 	return session.NewSigner(secrets...)
 }
 
-// running returns the groups with write transactions of an older term than the directory names.
+// running returns the groups with write transactions, or writes that wait for their majority, of an older term than the directory names.
 func (e *entry) running() []group.ID {
 	var running []group.ID
 	snapshot := e.directory.Snapshot()
-	e.pools.Each(func(_ group.Server, p *pool.Pool) {
-		p.Writing(func(id group.ID, term group.Term) {
-			if configuration, found := snapshot.Group(id); found && term < configuration.Term {
-				running = append(running, id)
-			}
-		})
-	})
+	note := func(id group.ID, term group.Term) {
+		if configuration, found := snapshot.Group(id); found && term < configuration.Term {
+			running = append(running, id)
+		}
+	}
+	e.pools.Each(func(_ group.Server, p *pool.Pool) { p.Writing(note) })
+	e.keeper.Writing(note)
 	slices.SortFunc(running, group.ID.Compare)
 	return slices.Compact(running)
 }
--- a/entry/internal/positions/group.go
+++ b/entry/internal/positions/group.go
@@ -148,6 +148,20 @@
 	g.count()
 }
 
+// writing calls a function for the term of each write that waits.
+func (g *groupState) writing(yield func(group.Term)) {
+	if g.waiting.Load() == 0 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, w := range g.waiters {
+		if w.purpose == forWrite {
+			yield(w.term)
+		}
+	}
+}
+
 func (g *groupState) changes() <-chan struct{} {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/entry/internal/positions/keeper.go
+++ b/entry/internal/positions/keeper.go
@@ -131,11 +131,24 @@
 
 func (k *Keeper) group(id group.ID) *groupState { return (*k.groups.Load())[id] }
 
+// newestTerm returns the newest term in which the group has a primary.
+//
+// A term that has begun without one ends no wait: until a majority promises it, writes of the old term can still be confirmed.
 func (k *Keeper) newestTerm(id group.ID) group.Term {
 	configuration, _ := k.cfg.Directory.Snapshot().Group(id)
+	if configuration.Primary == "" {
+		return 0
+	}
 	return configuration.Term
 }
 
+// Writing calls a function for each group and term with writes that wait for their majority.
+func (k *Keeper) Writing(yield func(id group.ID, term group.Term)) {
+	for id, g := range *k.groups.Load() {
+		g.writing(func(term group.Term) { yield(id, term) })
+	}
+}
+
 // Observe takes in a status that came with an answer to something sent at a time.
 func (k *Keeper) Observe(service group.Service, server group.Server, status group.Status, sent time.Time) {
 	g := k.group(group.ID{Service: service, Slot: status.Slot})
