--- /dev/null
+++ b/control/coordinator/leadership.go
@@ -0,0 +1,275 @@
+package coordinator
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"lentilwind.dev/lentilwind/fleet"
+	"lentilwind.dev/lentilwind/inventory"
+	"lentilwind.dev/lentilwind/journal"
+	"lentilwind.dev/lentilwind/policy"
+	"lentilwind.dev/lentilwind/protocol"
+	"lentilwind.dev/lentilwind/quota"
+)
+
+// Times of a leader's duties.
+const (
+	dutyPeriod = 50 * time.Millisecond
+	// entrySilent is how long an entry counts without a renewal.
+	entrySilent = 3 * time.Second
+	// entryForgotten is the silence after which an entry's part of the quota is given to the others.
+	entryForgotten = 30 * time.Second
+	proposeTime    = 2 * time.Second
+)
+
+// contact is what the leader knows of one entry.
+type contact struct {
+	heard   time.Time
+	reports []fleet.ServerReport
+}
+
+// leadership holds what a process knows only while it leads; all of it begins anew with each term.
+type leadership struct {
+	c *Coordinator
+
+	mu      sync.Mutex
+	term    journal.Term
+	roster  *roster
+	quota   *quota.Leader
+	version policy.Version
+	listed  []inventory.InstanceName
+	entries map[inventory.InstanceName]contact
+	changed notifier
+	duty    *promoter
+}
+
+func newLeadership(c *Coordinator) *leadership {
+	l := &leadership{c: c}
+	l.changed.reset()
+	return l
+}
+
+// hold returns with the lock held and the parts of the current term, or false if this process does not lead.
+func (l *leadership) hold() bool {
+	term, leads := l.c.leading()
+	if !leads {
+		return false
+	}
+	l.mu.Lock()
+	if l.term != term {
+		now := l.c.cfg.Now()
+		l.term = term
+		l.roster = newRoster(term, l.c.cfg.AnnouncePeriod, now)
+		l.quota = quota.NewLeader(quota.DefaultSettings(), uint64(term), now)
+		l.version, l.listed = 0, nil
+		l.entries = make(map[inventory.InstanceName]contact)
+		l.duty = newPromoter(l.c, l.roster)
+	}
+	l.configure()
+	return true
+}
+
+// configure gives the quota the newest workspaces and entries.
+func (l *leadership) configure() {
+	current := l.c.policy.Load()
+	listed := l.c.state.Load().Entries
+	if current == nil || current.Version == l.version && slices.Equal(listed, l.listed) {
+		return
+	}
+	l.version, l.listed = current.Version, listed
+	workspaces := make([]inventory.Workspace, 0, len(current.List))
+	for _, w := range current.List {
+		workspaces = append(workspaces, inventory.Workspace{Name: w.Name, Rate: w.Rate, Burst: w.Burst})
+	}
+	l.quota.Configure(workspaces, listed, l.c.cfg.Now())
+}
+
+// run does what a leader does by itself.
+func (l *leadership) run(ctx context.Context) error {
+	ticker := time.NewTicker(dutyPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		if !l.hold() {
+			continue
+		}
+		now := l.c.cfg.Now()
+		if l.roster.expire(now) {
+			l.changed.notify()
+		}
+		duty, reports := l.duty, l.reports(now)
+		wanted := l.wantedEntries(now)
+		l.mu.Unlock()
+		if wanted != nil {
+			l.recordEntries(ctx, wanted)
+		}
+		duty.look(ctx, now, reports)
+	}
+}
+
+// reports returns the fresh reports of entries by server.
+func (l *leadership) reports(now time.Time) []sighting {
+	var all []sighting
+	for _, e := range l.entries {
+		for _, report := range e.reports {
+			all = append(all, sighting{ServerReport: report, age: now.Sub(e.heard)})
+		}
+	}
+	return all
+}
+
+// wantedEntries returns the entries that should be recorded, nil if the record is right.
+func (l *leadership) wantedEntries(now time.Time) []inventory.InstanceName {
+	recorded := l.c.state.Load().Entries
+	var wanted []inventory.InstanceName
+	for _, name := range recorded {
+		e, found := l.entries[name]
+		silent := now.Sub(e.heard)
+		if !found {
+			silent = now.Sub(l.roster.began)
+		}
+		if silent < entryForgotten {
+			wanted = append(wanted, name)
+		}
+	}
+	for name := range l.entries {
+		if !slices.Contains(wanted, name) {
+			wanted = append(wanted, name)
+		}
+	}
+	slices.Sort(wanted)
+	if len(wanted) == 0 || slices.Equal(wanted, recorded) {
+		return nil
+	}
+	return wanted
+}
+
+func (l *leadership) recordEntries(ctx context.Context, wanted []inventory.InstanceName) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTime)
+	defer cancel()
+	if _, err := l.c.propose(ctx, command{Entries: wanted}); err != nil {
+		l.c.cfg.Log.Warn().Err(err).Msg("entriesNotRecorded")
+	}
+}
+
+// liveEntries counts the entries that share the databases' connections.
+func (l *leadership) liveEntries(now time.Time) int {
+	n := 0
+	for _, e := range l.entries {
+		if now.Sub(e.heard) < entrySilent {
+			n++
+		}
+	}
+	return n
+}
+
+// onRenew answers an entry's renewal, at the latest when its wait is over.
+func (l *leadership) onRenew(ctx context.Context, sender inventory.InstanceName, request fleet.RenewRequest) (fleet.RenewReply, error) {
+	c := l.c
+	if _, leads := c.leading(); !leads {
+		return l.relay(ctx, sender, request)
+	}
+	if request.Entry != "" {
+		sender = request.Entry
+	}
+	began := c.cfg.Now()
+	l.note(sender, request, began)
+	timer := time.NewTimer(min(request.Wait, c.cfg.Lease/4))
+	defer timer.Stop()
+	for {
+		rosterChanged, stateChanged := l.changed.watch(), c.changed.watch()
+		reply, news, ok := l.reply(request)
+		if !ok {
+			return fleet.RenewReply{}, c.notLeader()
+		}
+		if news {
+			return reply, nil
+		}
+		select {
+		case <-rosterChanged:
+		case <-stateChanged:
+		case <-timer.C:
+			reply, _, ok = l.reply(request)
+			if !ok {
+				return fleet.RenewReply{}, c.notLeader()
+			}
+			return reply, nil
+		case <-ctx.Done():
+			return fleet.RenewReply{}, ctx.Err()
+		}
+	}
+}
+
+func (l *leadership) note(sender inventory.InstanceName, request fleet.RenewRequest, now time.Time) {
+	if !l.hold() {
+		return
+	}
+	defer l.mu.Unlock()
+	l.entries[sender] = contact{heard: now, reports: request.Reports}
+}
+
+// reply returns what an entry is told now, and whether there is anything new in it.
+func (l *leadership) reply(request fleet.RenewRequest) (fleet.RenewReply, bool, bool) {
+	if !l.hold() {
+		return fleet.RenewReply{}, false, false
+	}
+	defer l.mu.Unlock()
+	now := l.c.cfg.Now()
+	document := l.c.state.Load().Document
+	reply := fleet.RenewReply{Lease: l.c.cfg.Lease, Version: document.Version}
+	if document.Version > request.Version {
+		reply.Document = &document
+	}
+	if version, _ := l.roster.current(now); version != request.Roster {
+		snapshot := l.roster.snapshot(now, l.liveEntries(now))
+		reply.Roster = &snapshot
+	}
+	news := reply.Document != nil || reply.Roster != nil
+	if news {
+		reply.Controls = l.c.controls()
+	}
+	// The state was read under a lease that has not ended since.
+	_, leads := l.c.leading()
+	return reply, news, leads
+}
+
+// relay passes an entry's renewal on to the leader that this process can reach.
+func (l *leadership) relay(ctx context.Context, sender inventory.InstanceName, request fleet.RenewRequest) (fleet.RenewReply, error) {
+	v := l.c.view.Load()
+	if !request.Relay || v.address == "" || v.leader == v.self {
+		return fleet.RenewReply{}, l.c.notLeader()
+	}
+	request.Relay, request.Entry = false, sender
+	var reply fleet.RenewReply
+	err := l.c.cfg.Client.Call(ctx, v.address, fleet.KindRenew, request, &reply)
+	return reply, err
+}
+
+// onDraw answers an entry that asks for a part of the quota.
+func (l *leadership) onDraw(_ context.Context, _ inventory.InstanceName, request protocol.DrawRequest) (protocol.DrawReply, error) {
+	if !l.hold() {
+		return protocol.DrawReply{}, l.c.notLeader()
+	}
+	defer l.mu.Unlock()
+	return l.quota.Draw(&request, l.c.cfg.Now()), nil
+}
+
+// announce takes in what a database says of itself.
+func (l *leadership) announce(s fleet.Server) bool {
+	if !l.hold() {
+		return false
+	}
+	defer l.mu.Unlock()
+	if l.roster.announce(l.c.cfg.Now(), s) {
+		l.c.cfg.Log.Info().Str("server", string(s.Name)).Str("service", string(s.Service)).Bool("primary", s.Primary).
+			Bool("leaving", s.Leaving).Bool("gone", s.Gone).Int64("incarnation", s.Incarnation).Msg("serverAnnounced")
+		l.changed.notify()
+	}
+	return true
+}
--- /dev/null
+++ b/control/coordinator/probe.go
@@ -0,0 +1,102 @@
+package coordinator
+
+import (
+	"sync"
+	"time"
+
+	"lentilwind.dev/lentilwind/database"
+	"lentilwind.dev/lentilwind/group"
+	"lentilwind.dev/lentilwind/statement"
+	"lentilwind.dev/lentilwind/succession"
+)
+
+// probe asks one database over a connection that it keeps.
+type probe struct {
+	connector database.Connector
+	target    database.Target
+
+	mu      sync.Mutex
+	backend database.Backend
+	closed  bool
+}
+
+// leads asks the database to begin a transaction, which only a primary does.
+func (p *probe) leads(timeout time.Duration) succession.Answer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return succession.NoAnswer
+	}
+	if p.backend == nil {
+		backend, answer, err := p.connector.Connect(p.target, timeout)
+		switch {
+		case err != nil:
+			return succession.NoAnswer
+		case answer.Outcome == statement.WrongServer:
+			return succession.NoAnswer
+		case answer.Outcome != statement.Done:
+			// The database lives and has no room for another connection.
+			return succession.Alive
+		}
+		p.backend = backend
+	}
+	begin := statement.Statement{ID: statement.Own, Verb: statement.Begin}
+	rollback := statement.Statement{ID: statement.Own, Verb: statement.Rollback}
+	if p.backend.Send(begin, rollback) != nil {
+		p.drop()
+		return succession.NoAnswer
+	}
+	first, err := p.backend.Receive(timeout)
+	if err == nil {
+		_, err = p.backend.Receive(timeout)
+	}
+	switch {
+	case err != nil:
+		p.drop()
+		return succession.NoAnswer
+	case first.Outcome == statement.Done:
+		return succession.Leads
+	case first.Outcome == statement.ReadOnlyServer:
+		return succession.Follows
+	default:
+		return succession.Alive
+	}
+}
+
+func (p *probe) drop() {
+	p.backend.Close()
+	p.backend = nil
+}
+
+func (p *probe) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	if p.backend != nil {
+		p.drop()
+	}
+}
+
+// Standing is how far a replica has come; Known is false if it did not answer.
+type Standing struct {
+	Known    bool
+	Received group.Floor
+}
+
+// standing asks a database for its status on a connection of its own.
+func standing(connector database.Connector, target database.Target, timeout time.Duration) Standing {
+	backend, answer, err := connector.Connect(target, timeout)
+	if err != nil || answer.Outcome != statement.Done {
+		return Standing{}
+	}
+	defer backend.Close()
+	if backend.Send(statement.Statement{ID: statement.Own, Verb: statement.Status}) != nil {
+		return Standing{Known: true, Received: answer.Position}
+	}
+	status, err := backend.Receive(timeout)
+	if err != nil || status.Report == nil {
+		// The answer to the start has told how far the database has applied, which it has received too.
+		return Standing{Known: true, Received: answer.Position}
+	}
+	return Standing{Known: true, Received: status.Report.Received}
+}
--- /dev/null
+++ b/control/coordinator/state.go
@@ -0,0 +1,69 @@
+package coordinator
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"lentilwind.dev/lentilwind/fleet"
+	"lentilwind.dev/lentilwind/group"
+	"lentilwind.dev/lentilwind/inventory"
+	"lentilwind.dev/lentilwind/journal"
+	"lentilwind.dev/lentilwind/protocol"
+)
+
+// appointment is a decision on which database takes over; its index in the journal is the fencing token.
+type appointment struct {
+	Service group.Service          `cbor:"1,keyasint"`
+	Server  group.Server           `cbor:"2,keyasint"`
+	Holder  inventory.InstanceName `cbor:"3,keyasint"`
+	Token   journal.Index          `cbor:"4,keyasint,omitempty"`
+}
+
+// command is one change of the replicated state; exactly one field is set.
+type command struct {
+	Document    *fleet.Document          `cbor:"1,keyasint,omitempty"`
+	Appointment *appointment             `cbor:"2,keyasint,omitempty"`
+	Entries     []inventory.InstanceName `cbor:"3,keyasint,omitempty"`
+}
+
+// state is the replicated state; it is replaced as a whole.
+type state struct {
+	Document     fleet.Document                `cbor:"1,keyasint"`
+	Appointments map[group.Service]appointment `cbor:"2,keyasint"`
+	// Entries are the entries that may hold parts of the quota.
+	Entries []inventory.InstanceName `cbor:"3,keyasint"`
+}
+
+// apply returns the state after a command.
+func (s *state) apply(index journal.Index, c command) *state {
+	next := *s
+	switch {
+	case c.Document != nil:
+		if c.Document.Version > s.Document.Version {
+			next.Document = *c.Document
+		}
+	case c.Appointment != nil:
+		next.Appointments = maps.Clone(s.Appointments)
+		if next.Appointments == nil {
+			next.Appointments = make(map[group.Service]appointment)
+		}
+		a := *c.Appointment
+		a.Token = index
+		next.Appointments[a.Service] = a
+	case c.Entries != nil:
+		next.Entries = slices.Clone(c.Entries)
+	}
+	return &next
+}
+
+func decodeState(data []byte) (*state, error) {
+	s := &state{}
+	if len(data) == 0 {
+		return s, nil
+	}
+	if err := protocol.Decode(data, s); err != nil {
+		return nil, fmt.Errorf("coordinator: snapshot: %w", err)
+	}
+	return s, nil
+}
--- a/control/internal/storage/store.go
+++ b/control/internal/storage/store.go
@@ -42,6 +42,11 @@
 
 // Open opens a data folder, or makes it with a new identity, and returns what it holds.
 func Open(dir string, name inventory.InstanceName) (*Store, journal.Persisted, error) {
+	return OpenAs(dir, name, 0)
+}
+
+// OpenAs is Open with the member that an empty folder is bound to; 0 draws one.
+func OpenAs(dir string, name inventory.InstanceName, member journal.MemberID) (*Store, journal.Persisted, error) {
 	if err := os.MkdirAll(dir, folderMode); err != nil {
 		return nil, journal.Persisted{}, fmt.Errorf("storage: %w", err)
 	}
@@ -50,14 +55,14 @@
 		return nil, journal.Persisted{}, err
 	}
 	s := &Store{dir: dir, lock: lock}
-	persisted, err := s.load(name)
+	persisted, err := s.load(name, member)
 	if err != nil {
 		return nil, journal.Persisted{}, errors.Join(err, s.Close())
 	}
 	return s, persisted, nil
 }
 
-func (s *Store) load(name inventory.InstanceName) (journal.Persisted, error) {
+func (s *Store) load(name inventory.InstanceName, member journal.MemberID) (journal.Persisted, error) {
 	identity, used, err := readIdentity(s.dir)
 	if err != nil {
 		return journal.Persisted{}, err
@@ -67,7 +72,7 @@
 		return journal.Persisted{}, err
 	}
 	if !used {
-		return journal.Persisted{}, s.create(name, generations)
+		return journal.Persisted{}, s.create(name, member, generations)
 	}
 	if identity.Name != name {
 		return journal.Persisted{}, fmt.Errorf("storage: %s belongs to instance %q, not %q", s.dir, identity.Name, name)
@@ -81,13 +86,16 @@
 }
 
 // create makes an empty journal first and the identity last, so that an identity always has a journal.
-func (s *Store) create(name inventory.InstanceName, generations []uint64) error {
+func (s *Store) create(name inventory.InstanceName, member journal.MemberID, generations []uint64) error {
 	if len(generations) > 1 || len(generations) == 1 && generations[0] > 1 {
 		return &CorruptionError{File: filepath.Join(s.dir, identityFile), Reason: "it is missing beside a journal"}
 	}
-	member, err := newMemberID()
-	if err != nil {
-		return err
+	if member == 0 {
+		drawn, err := newMemberID()
+		if err != nil {
+			return err
+		}
+		member = drawn
 	}
 	s.identity = Identity{Member: member, Name: name}
 	if err := s.beginJournal(1, 0, nil); err != nil {
--- a/entry/internal/directory/directory.go
+++ b/entry/internal/directory/directory.go
@@ -7,6 +7,7 @@
 
 	"lentilwind.dev/lentilwind/inventory"
 	"lentilwind.dev/lentilwind/protocol"
+	"lentilwind.dev/lentilwind/quota"
 )
 
 // Directory holds the newest snapshot and the configuration lease.
@@ -87,6 +88,21 @@
 	return s
 }
 
+// Watch returns the channel of a new subscription and what ends it.
+func (d *Directory) Watch() (changed <-chan struct{}, stop func()) {
+	s := d.Subscribe()
+	return s.Changed, s.Close
+}
+
+// Limits returns the quota of a workspace; false means that it does not exist.
+func (d *Directory) Limits(workspace inventory.WorkspaceName) (quota.Limits, bool) {
+	w := d.Snapshot().Workspace(workspace)
+	if w == nil {
+		return quota.Limits{}, false
+	}
+	return quota.Limits{Rate: w.Rate, Burst: w.Burst}, true
+}
+
 // Close ends the subscription.
 func (s *Subscription) Close() {
 	s.directory.mu.Lock()
--- /dev/null
+++ b/entry/proxy/record.go
@@ -0,0 +1,142 @@
+package proxy
+
+import (
+	"sync"
+	"time"
+
+	"lentilwind.dev/lentilwind/policy"
+	"lentilwind.dev/lentilwind/statement"
+)
+
+// Bounds of what is logged about requests.
+const (
+	// maxFailureLines is how many failed requests a second have a line of their own; the others are counted in one line.
+	maxFailureLines = 50
+	// sampleEvery is how many served requests share one line.
+	sampleEvery = 200
+)
+
+// latencyBounds are the upper ends of the latency histogram's buckets.
+var latencyBounds = [...]time.Duration{
+	5 * time.Millisecond, 10 * time.Millisecond, 25 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond,
+	250 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second,
+}
+
+// counterKey names one counter of finished operations.
+type counterKey struct {
+	consistency policy.Consistency
+	outcome     statement.Outcome
+}
+
+// histogram counts latencies by bucket; the last one has no upper end.
+type histogram struct {
+	buckets [len(latencyBounds) + 1]uint64
+	sum     time.Duration
+}
+
+// counters holds what the metrics page shows.
+type counters struct {
+	mu       sync.Mutex
+	finished map[counterKey]uint64
+	latency  map[policy.Consistency]*histogram
+	refused  map[string]uint64
+	served   uint64
+	// second, lines and folded bound the failure lines of the current second.
+	second time.Time
+	lines  int
+	folded uint64
+}
+
+// mayLog reports whether a failure gets a line, and how many were folded since the last one that did.
+func (c *counters) mayLog(now time.Time) (bool, uint64) {
+	if now.Sub(c.second) >= time.Second {
+		c.second, c.lines = now, 0
+	}
+	if c.lines >= maxFailureLines {
+		c.folded++
+		return false, 0
+	}
+	c.lines++
+	folded := c.folded
+	c.folded = 0
+	return true, folded
+}
+
+// logRefusal records an operation that was refused before it was offered to a database.
+func (s *session) logRefusal(id statement.ID, reason string, answer statement.Answer) {
+	p := s.proxy
+	now := p.cfg.Now()
+	p.counters.mu.Lock()
+	if p.counters.refused == nil {
+		p.counters.refused = make(map[string]uint64)
+	}
+	p.counters.refused[reason]++
+	log, folded := p.counters.mayLog(now)
+	p.counters.mu.Unlock()
+	if !log {
+		return
+	}
+	version := uint64(0)
+	if current := p.Policy(); current != nil {
+		version = uint64(current.Version)
+	}
+	p.cfg.Log.Info().Str("request", string(id)).Str("database", string(s.database)).Str("workspace", string(s.workspace)).
+		Str("reason", reason).Str("outcome", string(answer.Outcome)).Str("detail", answer.Detail).Uint64("version", version).
+		Dur("leaseLeft", p.leaseUntil.Load().Sub(now)).Uint64("folded", folded).Msg("requestRefused")
+}
+
+// finished records the end of an operation that was offered to databases.
+func (p *Proxy) finished(s *session, id statement.ID, route *policy.Route, answer statement.Answer, began time.Time, offers int) {
+	now := p.cfg.Now()
+	took := now.Sub(began)
+	done := answer.Outcome == statement.Done
+	p.counters.mu.Lock()
+	p.counters.count(route.Consistency, answer.Outcome, took)
+	var log bool
+	var folded uint64
+	if done {
+		p.counters.served++
+		log = p.counters.served%sampleEvery == 1
+	} else {
+		log, folded = p.counters.mayLog(now)
+	}
+	p.counters.mu.Unlock()
+	if !log {
+		return
+	}
+	age := time.Duration(0)
+	primary := ""
+	if c := p.cluster(route.Service); c != nil {
+		age = c.proofAge(now)
+		c.mu.Lock()
+		primary = string(c.primary)
+		c.mu.Unlock()
+	}
+	event := "requestFailed"
+	if done {
+		event = "requestServed"
+	}
+	p.cfg.Log.Info().Str("request", string(id)).Str("database", string(s.database)).Str("workspace", string(s.workspace)).
+		Str("consistency", string(route.Consistency)).Str("outcome", string(answer.Outcome)).Str("detail", answer.Detail).
+		Dur("took", took).Int("offers", offers).Str("primary", primary).Dur("proofAge", age).
+		Uint64("version", uint64(p.Policy().Version)).Dur("leaseLeft", p.leaseUntil.Load().Sub(now)).Uint64("folded", folded).Msg(event)
+}
+
+func (c *counters) count(consistency policy.Consistency, outcome statement.Outcome, took time.Duration) {
+	if c.finished == nil {
+		c.finished = make(map[counterKey]uint64)
+		c.latency = make(map[policy.Consistency]*histogram)
+	}
+	c.finished[counterKey{consistency, outcome}]++
+	h := c.latency[consistency]
+	if h == nil {
+		h = &histogram{}
+		c.latency[consistency] = h
+	}
+	bucket := 0
+	for bucket < len(latencyBounds) && took > latencyBounds[bucket] {
+		bucket++
+	}
+	h.buckets[bucket]++
+	h.sum += took
+}
--- a/entry/internal/quota/quota.go
+++ b/entry/quota/quota.go
@@ -12,8 +12,6 @@
 	"lentilwind.dev/lentilwind/inventory"
 	"lentilwind.dev/lentilwind/protocol"
 	"lentilwind.dev/lentilwind/quota"
-
-	"lentilwind.dev/entry/internal/directory"
 )
 
 // Times of drawing.
@@ -30,11 +28,19 @@
 	Call(ctx context.Context, attempt time.Duration, kind protocol.Kind, body, reply any) error
 }
 
+// Directory tells the limits that are in force.
+type Directory interface {
+	// Limits returns the limits of a workspace; false means that it does not exist.
+	Limits(workspace inventory.WorkspaceName) (quota.Limits, bool)
+	// Watch returns a channel that is signalled after each change, until stop is called.
+	Watch() (changed <-chan struct{}, stop func())
+}
+
 // Config is what the quota needs.
 type Config struct {
 	Name      inventory.InstanceName
 	Settings  quota.Settings
-	Directory *directory.Directory
+	Directory Directory
 	Leader    Leader
 }
 
@@ -95,13 +101,13 @@
 
 // open adds a workspace's account; nil means that the workspace does not exist.
 func (q *Quota) open(workspace inventory.WorkspaceName, now time.Time) *account {
-	w := q.cfg.Directory.Snapshot().Workspace(workspace)
-	if w == nil {
+	limits, found := q.cfg.Directory.Limits(workspace)
+	if !found {
 		return nil
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	a := q.entry.Account(workspace, quota.Limits{Rate: w.Rate, Burst: w.Burst}, now)
+	a := q.entry.Account(workspace, limits, now)
 	table := maps.Clone(*q.accounts.Load())
 	table[workspace] = a
 	q.accounts.Store(&table)
@@ -139,15 +145,15 @@
 
 // Run draws from the leader until the context ends.
 func (q *Quota) Run(ctx context.Context) error {
-	subscription := q.cfg.Directory.Subscribe()
-	defer subscription.Close()
+	changed, stop := q.cfg.Directory.Watch()
+	defer stop()
 	ticker := time.NewTicker(drawPeriod)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-subscription.Changed:
+		case <-changed:
 			q.follow(time.Now())
 		case <-q.wake:
 		case <-ticker.C:
@@ -169,13 +175,12 @@
 
 // follow takes in the limits of a new inventory and drops workspaces that are gone.
 func (q *Quota) follow(now time.Time) {
-	snapshot := q.cfg.Directory.Snapshot()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	table := make(accountTable)
 	for name := range *q.accounts.Load() {
-		if w := snapshot.Workspace(name); w != nil {
-			table[name] = q.entry.Account(name, quota.Limits{Rate: w.Rate, Burst: w.Burst}, now)
+		if limits, found := q.cfg.Directory.Limits(name); found {
+			table[name] = q.entry.Account(name, limits, now)
 		}
 	}
 	q.accounts.Store(&table)
--- a/entry/internal/quota/quota_test.go
+++ b/entry/quota/quota_test.go
@@ -13,7 +13,7 @@
 	decisions "lentilwind.dev/lentilwind/quota"
 
 	"lentilwind.dev/entry/internal/directory"
-	"lentilwind.dev/entry/internal/quota"
+	"lentilwind.dev/entry/quota"
 )
 
 // localLeader answers draws in the same process.
--- /dev/null
+++ b/lentilwind/database/database.go
@@ -0,0 +1,36 @@
+package database
+
+import (
+	"time"
+
+	"lentilwind.dev/lentilwind/group"
+	"lentilwind.dev/lentilwind/inventory"
+	"lentilwind.dev/lentilwind/statement"
+)
+
+// Target names the database that a connection must reach.
+type Target struct {
+	// Address is IP and port.
+	Address   string
+	Service   group.Service
+	Server    group.Server
+	Workspace inventory.WorkspaceName
+}
+
+// Connector opens connections to databases.
+type Connector interface {
+	// Connect returns a connection or, where the database refused, its answer; any other failure is an error.
+	Connect(target Target, timeout time.Duration) (Backend, statement.Answer, error)
+}
+
+// Backend is a connection to a database; it is used by one goroutine at a time.
+type Backend interface {
+	// Send sends statements in one write; each gets one answer, in order.
+	Send(statements ...statement.Statement) error
+	// Receive returns the next answer; after an error the connection is of no more use.
+	Receive(timeout time.Duration) (statement.Answer, error)
+	// Alive tells whether an idle connection has not been ended by the other side.
+	Alive() bool
+	// Close ends the connection, which rolls an open transaction back.
+	Close()
+}
--- /dev/null
+++ b/lentilwind/fleet/document.go
@@ -0,0 +1,41 @@
+package fleet
+
+import (
+	"bytes"
+	"compress/flate"
+	"fmt"
+	"io"
+
+	"lentilwind.dev/lentilwind/policy"
+)
+
+// MaxDocumentBytes bounds a configuration as the operator sends it.
+const MaxDocumentBytes = 4 << 20
+
+// Pack returns the document of a configuration.
+func Pack(version policy.Version, body []byte) (Document, error) {
+	var packed bytes.Buffer
+	w, err := flate.NewWriter(&packed, flate.BestSpeed)
+	if err != nil {
+		return Document{}, fmt.Errorf("fleet: %w", err)
+	}
+	if _, err := w.Write(body); err != nil {
+		return Document{}, fmt.Errorf("fleet: %w", err)
+	}
+	if err := w.Close(); err != nil {
+		return Document{}, fmt.Errorf("fleet: %w", err)
+	}
+	return Document{Version: version, Body: packed.Bytes()}, nil
+}
+
+// Unpack returns the configuration as the operator sent it.
+func (d Document) Unpack() ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(d.Body)), MaxDocumentBytes+1))
+	if err != nil {
+		return nil, fmt.Errorf("fleet: document %d: %w", d.Version, err)
+	}
+	if len(body) > MaxDocumentBytes {
+		return nil, fmt.Errorf("fleet: document %d is larger than %d bytes", d.Version, MaxDocumentBytes)
+	}
+	return body, nil
+}
--- a/lentilwind/group/group.go
+++ b/lentilwind/group/group.go
@@ -61,3 +61,8 @@
 	// Primary is empty while a failover is under way.
 	Primary Server `json:"primary" cbor:"3,keyasint"`
 }
+
+// Less orders floors by term, then by position.
+func (f Floor) Less(other Floor) bool {
+	return f.Term < other.Term || f.Term == other.Term && f.Position < other.Position
+}
