Durations are logged as milliseconds

Cause: the logger's duration field panics on the longest negative duration, which an entry without a lease has left.

--- a/control/coordinator/promoter.go
+++ b/control/coordinator/promoter.go
@@ -156,7 +156,7 @@
 	}
 	took := p.awaitTakeover(ctx, name, best, w)
 	p.c.cfg.Log.Info().Str("service", string(name)).Str("server", string(best.Name)).Bool("leads", took).
-		Dur("took", p.c.cfg.Now().Sub(began)).Msg("promotionEnded")
+		Int64("tookMs", p.c.cfg.Now().Sub(began).Milliseconds()).Msg("promotionEnded")
 }
 
 // order journals the decision, so that its token is never used for another one, and then gives the order.
--- a/entry/proxy/record.go
+++ b/entry/proxy/record.go
@@ -82,7 +82,7 @@
 	}
 	p.cfg.Log.Info().Str("request", string(id)).Str("database", string(s.database)).Str("workspace", string(s.workspace)).
 		Str("reason", reason).Str("outcome", string(answer.Outcome)).Str("detail", answer.Detail).Uint64("version", version).
-		Dur("leaseLeft", p.leaseUntil.Load().Sub(now)).Uint64("folded", folded).Msg("requestRefused")
+		Int64("leaseLeftMs", p.leaseUntil.Load().Sub(now).Milliseconds()).Uint64("folded", folded).Msg("requestRefused")
 }
 
 // finished records the end of an operation that was offered to databases.
@@ -118,8 +118,8 @@
 	}
 	p.cfg.Log.Info().Str("request", string(id)).Str("database", string(s.database)).Str("workspace", string(s.workspace)).
 		Str("consistency", string(route.Consistency)).Str("outcome", string(answer.Outcome)).Str("detail", answer.Detail).
-		Dur("took", took).Int("offers", offers).Str("primary", primary).Dur("proofAge", age).
-		Uint64("version", uint64(p.Policy().Version)).Dur("leaseLeft", p.leaseUntil.Load().Sub(now)).Uint64("folded", folded).Msg(event)
+		Int64("tookMs", took.Milliseconds()).Int("offers", offers).Str("primary", primary).Int64("proofAgeMs", age.Milliseconds()).
+		Uint64("version", uint64(p.Policy().Version)).Int64("leaseLeftMs", p.leaseUntil.Load().Sub(now).Milliseconds()).Uint64("folded", folded).Msg(event)
 }
 
 func (c *counters) count(consistency policy.Consistency, outcome statement.Outcome, took time.Duration) {
