Statements are forwarded to the entries that hold a database's connections

A replaced control member came back with its first identity, since its settings still said that the fleet starts; it now draws a new one.

--- a/control/coordinator/coordinator.go
+++ b/control/coordinator/coordinator.go
@@ -103,6 +103,8 @@
 	couriers map[journal.MemberID]*courier
 	heard    map[journal.MemberID]string
 	group    *errgroup.Group
+	// emptied means that this process has lost what its folder held, so that it must not take part as a first member again.
+	emptied bool
 
 	state   atomic.Pointer[state]
 	policy  atomic.Pointer[policy.Policy]
@@ -168,6 +170,7 @@
 	c.failWaiters()
 	closed := c.store.Close()
 	if errors.Is(err, errReplaced) {
+		c.emptied = true
 		return errors.Join(err, emptyFolder(c.cfg.DataFolder))
 	}
 	return errors.Join(err, closed)
@@ -184,6 +187,7 @@
 	var damaged *storage.CorruptionError
 	if errors.As(err, &damaged) {
 		c.cfg.Log.Error().Err(err).Msg("journalDamaged")
+		c.emptied, self = true, 0
 		if err := emptyFolder(c.cfg.DataFolder); err != nil {
 			return err
 		}
@@ -228,7 +232,7 @@
 // firstMembership is the membership with which a fleet begins: the seeds, on the very first start only.
 func (c *Coordinator) firstMembership() journal.Membership {
 	var first journal.Membership
-	if !c.cfg.FirstStart {
+	if !c.cfg.FirstStart || c.emptied {
 		return first
 	}
 	for _, address := range c.cfg.Seeds {
--- a/control/coordinator/leadership.go
+++ b/control/coordinator/leadership.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -26,6 +27,7 @@
 
 // contact is what the leader knows of one entry.
 type contact struct {
+	entry   fleet.Entry
 	heard   time.Time
 	reports []fleet.ServerReport
 }
@@ -41,6 +43,8 @@
 	version policy.Version
 	listed  []inventory.InstanceName
 	entries map[inventory.InstanceName]contact
+	// live are the entries that the newest roster names.
+	live    []fleet.Entry
 	changed notifier
 	duty    *promoter
 }
@@ -64,7 +68,7 @@
 		l.roster = newRoster(term, l.c.cfg.AnnouncePeriod, now)
 		l.quota = quota.NewLeader(quota.DefaultSettings(), uint64(term), now)
 		l.version, l.listed = 0, nil
-		l.entries = make(map[inventory.InstanceName]contact)
+		l.entries, l.live = make(map[inventory.InstanceName]contact), nil
 		l.duty = newPromoter(l.c, l.roster)
 	}
 	l.configure()
@@ -103,6 +107,7 @@
 		if l.roster.expire(now) {
 			l.changed.notify()
 		}
+		l.noteLive(now)
 		duty, reports := l.duty, l.reports(now)
 		wanted := l.wantedEntries(now)
 		l.mu.Unlock()
@@ -158,28 +163,26 @@
 	}
 }
 
-// liveEntries counts the entries that share the databases' connections.
-func (l *leadership) liveEntries(now time.Time) int {
-	n := 0
+// liveEntries returns the entries that share the databases' connections, ordered by name.
+func (l *leadership) liveEntries(now time.Time) []fleet.Entry {
+	var live []fleet.Entry
 	for _, e := range l.entries {
-		if now.Sub(e.heard) < entrySilent {
-			n++
+		if now.Sub(e.heard) < entrySilent && !e.entry.Leaving {
+			live = append(live, e.entry)
 		}
 	}
-	return n
+	slices.SortFunc(live, func(a, b fleet.Entry) int { return cmp.Compare(a.Name, b.Name) })
+	return live
 }
 
 // onRenew answers an entry's renewal, at the latest when its wait is over.
-func (l *leadership) onRenew(ctx context.Context, sender inventory.InstanceName, request fleet.RenewRequest) (fleet.RenewReply, error) {
+func (l *leadership) onRenew(ctx context.Context, _ inventory.InstanceName, request fleet.RenewRequest) (fleet.RenewReply, error) {
 	c := l.c
 	if _, leads := c.leading(); !leads {
-		return l.relay(ctx, sender, request)
-	}
-	if request.Entry != "" {
-		sender = request.Entry
+		return l.relay(ctx, request)
 	}
 	began := c.cfg.Now()
-	l.note(sender, request, began)
+	l.note(request, began)
 	timer := time.NewTimer(min(request.Wait, c.cfg.Lease/4))
 	defer timer.Stop()
 	for {
@@ -206,12 +209,24 @@
 	}
 }
 
-func (l *leadership) note(sender inventory.InstanceName, request fleet.RenewRequest, now time.Time) {
+func (l *leadership) note(request fleet.RenewRequest, now time.Time) {
 	if !l.hold() {
 		return
 	}
 	defer l.mu.Unlock()
-	l.entries[sender] = contact{heard: now, reports: request.Reports}
+	l.entries[request.Entry.Name] = contact{entry: request.Entry, heard: now, reports: request.Reports}
+	l.noteLive(now)
+}
+
+// noteLive makes a new roster when the live entries have changed.
+func (l *leadership) noteLive(now time.Time) {
+	live := l.liveEntries(now)
+	if slices.Equal(live, l.live) {
+		return
+	}
+	l.live = live
+	l.roster.bump()
+	l.changed.notify()
 }
 
 // reply returns what an entry is told now, and whether there is anything new in it.
@@ -227,7 +242,7 @@
 		reply.Document = &document
 	}
 	if version, _ := l.roster.current(now); version != request.Roster {
-		snapshot := l.roster.snapshot(now, l.liveEntries(now))
+		snapshot := l.roster.snapshot(now, l.live)
 		reply.Roster = &snapshot
 	}
 	news := reply.Document != nil || reply.Roster != nil
@@ -240,12 +255,12 @@
 }
 
 // relay passes an entry's renewal on to the leader that this process can reach.
-func (l *leadership) relay(ctx context.Context, sender inventory.InstanceName, request fleet.RenewRequest) (fleet.RenewReply, error) {
+func (l *leadership) relay(ctx context.Context, request fleet.RenewRequest) (fleet.RenewReply, error) {
 	v := l.c.view.Load()
 	if !request.Relay || v.address == "" || v.leader == v.self {
 		return fleet.RenewReply{}, l.c.notLeader()
 	}
-	request.Relay, request.Entry = false, sender
+	request.Relay = false
 	var reply fleet.RenewReply
 	err := l.c.cfg.Client.Call(ctx, v.address, fleet.KindRenew, request, &reply)
 	return reply, err
--- a/control/coordinator/metrics.go
+++ b/control/coordinator/metrics.go
@@ -17,7 +17,7 @@
 		return
 	}
 	defer c.leader.mu.Unlock()
-	fmt.Fprintf(w, "lentilwind_entries %d\n", c.leader.liveEntries(c.cfg.Now()))
+	fmt.Fprintf(w, "lentilwind_entries %d\n", len(c.leader.live))
 	fmt.Fprintf(w, "lentilwind_active_workspaces %d\n", c.leader.quota.Active())
 }
 
--- a/control/coordinator/roster.go
+++ b/control/coordinator/roster.go
@@ -98,6 +98,13 @@
 	r.version.Number++
 }
 
+// bump makes a new version for a change beside the databases.
+func (r *roster) bump() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.version.Number++
+}
+
 // expire forgets databases that have been silent for long and reports whether there were any.
 func (r *roster) expire(now time.Time) bool {
 	r.mu.Lock()
@@ -129,7 +136,7 @@
 }
 
 // snapshot returns the databases, ordered by name.
-func (r *roster) snapshot(now time.Time, entries int) fleet.Roster {
+func (r *roster) snapshot(now time.Time, entries []fleet.Entry) fleet.Roster {
 	version, settled := r.current(now)
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/entry/proxy/cluster.go
+++ b/entry/proxy/cluster.go
@@ -8,7 +8,6 @@
 	"lentilwind.dev/lentilwind/fleet"
 	"lentilwind.dev/lentilwind/floor"
 	"lentilwind.dev/lentilwind/group"
-	"lentilwind.dev/lentilwind/policy"
 )
 
 // demoted is how long a server that refused to be the primary is not taken for it.
@@ -153,6 +152,13 @@
 	return best
 }
 
+// pool returns the pool of a server, nil if it is not known.
+func (c *cluster) pool(server group.Server) *pool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pools[server]
+}
+
 func contains(pools []*pool, p *pool) bool {
 	for _, other := range pools {
 		if other == p {
@@ -169,7 +175,7 @@
 }
 
 // update takes the roster's servers of this service in.
-func (c *cluster) update(servers []fleet.Server, partial bool, limit int, connector database.Connector, now func() time.Time) {
+func (c *cluster) update(servers []fleet.Server, partial bool, limit func(fleet.Server) int, connector database.Connector, now func() time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	named := make(map[group.Server]bool)
@@ -182,7 +188,7 @@
 			p = nil
 		}
 		if p == nil {
-			c.pools[s.Name] = newPool(s, connector, now, limit)
+			c.pools[s.Name] = newPool(s, connector, now, limit(s))
 			changed = true
 			continue
 		}
@@ -191,7 +197,7 @@
 			delete(c.refused, s.Name)
 		}
 		p.setServer(s)
-		p.setLimit(limit)
+		p.setLimit(limit(s))
 	}
 	for id, p := range c.pools {
 		if !named[id] && !partial {
@@ -205,14 +211,3 @@
 		c.notify()
 	}
 }
-
-// limitFor divides the connections of one database among the entries.
-func limitFor(service *policy.Service, entries int) int {
-	if service == nil {
-		return 1
-	}
-	return max(2, (service.MaxConnections-reservedConnections+entries-1)/max(1, entries))
-}
-
-// reservedConnections are left to control for each database.
-const reservedConnections = 2
--- a/entry/proxy/link.go
+++ b/entry/proxy/link.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"lentilwind.dev/lentilwind/forward"
 	"lentilwind.dev/lentilwind/statement"
 )
 
@@ -14,20 +15,14 @@
 
 var errSetup = errors.New("proxy: the connection could not be made fit for the session")
 
-// shape is what a prepared statement runs.
-type shape struct {
-	readOnly bool
-	text     string
-}
-
 func sameValues(a, b map[string]string) bool { return maps.Equal(a, b) }
 
 // fit gives the connection a session's values and the prepared statement that is about to run; nothing of the caller's has run if it fails.
-func (l *link) fit(values map[string]string, needed *shape) error {
+func (l *link) fit(values map[string]string, needed *forward.Shape) error {
 	var setup []statement.Statement
 	for name := range l.values {
 		if _, kept := values[name]; !kept {
-			setup = append(setup, statement.Statement{ID: statement.Own, Verb: statement.Reset, Text: "RESET"})
+			setup = append(setup, statement.Statement{ID: statement.Own, Verb: statement.Reset})
 			l.values, l.prepared = nil, nil
 			break
 		}
@@ -39,7 +34,7 @@
 	}
 	if needed != nil && l.prepared[*needed] == "" {
 		setup = append(setup, statement.Statement{
-			ID: statement.Own, Verb: statement.Prepare, Name: l.nextName(), Value: needed.text, ReadOnly: needed.readOnly,
+			ID: statement.Own, Verb: statement.Prepare, Name: l.nextName(), Value: needed.Text, ReadOnly: needed.ReadOnly,
 		})
 	}
 	if len(setup) == 0 {
@@ -48,7 +43,7 @@
 	return l.setUp(setup, values, needed)
 }
 
-func (l *link) setUp(setup []statement.Statement, values map[string]string, needed *shape) error {
+func (l *link) setUp(setup []statement.Statement, values map[string]string, needed *forward.Shape) error {
 	answers, err := l.exchange(setupTimeout, setup...)
 	if err != nil {
 		return err
@@ -62,7 +57,7 @@
 	l.values = maps.Clone(values)
 	if needed != nil && l.prepared[*needed] == "" {
 		if l.prepared == nil {
-			l.prepared = make(map[shape]string)
+			l.prepared = make(map[forward.Shape]string)
 		}
 		l.prepared[*needed] = l.nextName()
 	}
@@ -78,7 +73,6 @@
 		l.fail()
 		return nil, err
 	}
-	l.fresh = false
 	answers := make([]statement.Answer, 0, len(statements))
 	for range statements {
 		answer, err := l.backend.Receive(timeout)
--- a/entry/proxy/pool.go
+++ b/entry/proxy/pool.go
@@ -2,11 +2,13 @@
 
 import (
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
 	"lentilwind.dev/lentilwind/database"
 	"lentilwind.dev/lentilwind/fleet"
+	"lentilwind.dev/lentilwind/forward"
 	"lentilwind.dev/lentilwind/group"
 	"lentilwind.dev/lentilwind/inventory"
 	"lentilwind.dev/lentilwind/statement"
@@ -37,13 +39,9 @@
 	pool      *pool
 	workspace inventory.WorkspaceName
 	values    map[string]string
-	prepared  map[shape]string
+	prepared  map[forward.Shape]string
 	used      time.Time
 	broken    bool
-	// held links belong to a transaction that outlives the current statement.
-	held bool
-	// fresh connections have carried nothing yet.
-	fresh bool
 }
 
 // pool holds this entry's connections to one database.
@@ -69,11 +67,16 @@
 	laggingUntil time.Time
 	busyUntil    time.Time
 	running      int
+	// remote is how busy the server was at its home, as of the last answer from there.
+	remote   int
+	remoteAt time.Time
+	sent     int
 }
 
 // waiter waits for a connection or for the room to open one.
 type waiter struct {
 	workspace inventory.WorkspaceName
+	priority  int
 	// given receives a link, or nil as the right to open one.
 	given chan *link
 }
@@ -83,10 +86,10 @@
 }
 
 // acquire returns a connection for a workspace, within a timeout.
-func (p *pool) acquire(workspace inventory.WorkspaceName, values map[string]string, timeout time.Duration) (*link, error) {
+func (p *pool) acquire(workspace inventory.WorkspaceName, values map[string]string, priority int, timeout time.Duration) (*link, error) {
 	end := p.now().Add(timeout)
 	for {
-		l, wait, err := p.take(workspace, values)
+		l, wait, err := p.take(workspace, values, priority)
 		if err != nil {
 			return nil, err
 		}
@@ -112,7 +115,7 @@
 }
 
 // take returns an idle connection, nothing at all as the right to open one, or a waiter.
-func (p *pool) take(workspace inventory.WorkspaceName, values map[string]string) (*link, *waiter, error) {
+func (p *pool) take(workspace inventory.WorkspaceName, values map[string]string, priority int) (*link, *waiter, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
@@ -141,8 +144,12 @@
 	if p.open == 0 {
 		return nil, nil, errNoConnection
 	}
-	w := &waiter{workspace: workspace, given: make(chan *link, 1)}
-	p.waiting = append(p.waiting, w)
+	w := &waiter{workspace: workspace, priority: priority, given: make(chan *link, 1)}
+	at := len(p.waiting)
+	for at > 0 && p.waiting[at-1].priority > priority {
+		at--
+	}
+	p.waiting = slices.Insert(p.waiting, at, w)
 	return nil, w, nil
 }
 
@@ -203,7 +210,7 @@
 	defer p.mu.Unlock()
 	if err == nil && answer.Outcome == statement.Done {
 		p.noteSuccess(now)
-		return &link{backend: backend, pool: p, workspace: workspace, used: now, fresh: true}, nil
+		return &link{backend: backend, pool: p, workspace: workspace, used: now}, nil
 	}
 	p.giveUp()
 	if err != nil {
@@ -361,13 +368,47 @@
 	p.server.Primary, p.server.Leaving = s.Primary, s.Leaving
 }
 
+// remoteFresh is how long what a home said of its load is believed.
+const remoteFresh = 300 * time.Millisecond
+
 // load tells how soon the server can be expected to serve, for choosing among replicas.
-func (p *pool) load() (running int, usable bool, lagging, busy bool) {
+func (p *pool) load() (busyness int, usable bool, lagging, busy bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
 	usable = !p.gone && !p.closed && !p.server.Leaving && !now.Before(p.downUntil)
-	return p.running + len(p.waiting), usable, now.Before(p.laggingUntil), now.Before(p.busyUntil)
+	busyness = p.running + len(p.waiting) + p.sent
+	if now.Sub(p.remoteAt) < remoteFresh {
+		busyness = max(busyness, p.remote)
+	}
+	return busyness, usable, now.Before(p.laggingUntil), now.Before(p.busyUntil)
+}
+
+// busyness is how much work runs or waits here.
+func (p *pool) busyness() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.running + len(p.waiting)
+}
+
+// noteRemote takes in what a home has answered.
+func (p *pool) noteRemote(result forward.Result, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.remote, p.remoteAt = result.Load, now
+	switch {
+	case len(result.Answers) > 0 || result.Opened != nil:
+		p.noteSuccess(now)
+	case result.Failure != "":
+		p.noteFailure(now)
+	}
+}
+
+// sending counts work on its way to a home.
+func (p *pool) sending(change int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sent += change
 }
 
 func (p *pool) noteLagging(until time.Time) {
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -8,6 +8,7 @@
 
 	"github.com/phuslu/log"
 
+	"lentilwind.dev/instance/peer"
 	"lentilwind.dev/lentilwind/database"
 	"lentilwind.dev/lentilwind/fleet"
 	"lentilwind.dev/lentilwind/group"
@@ -28,7 +29,9 @@
 	DataCentre inventory.DataCentre
 	Connector  database.Connector
 	Admission  Admission
-	Log        *log.Logger
+	// Client hands work to other entries.
+	Client *peer.Client
+	Log    *log.Logger
 	// Now is a clock that counts suspended time.
 	Now func() time.Time
 	// DrainGrace is the time from a planned stop to its forced end.
@@ -40,6 +43,8 @@
 	cfg      Config
 	policy   atomic.Pointer[policy.Policy]
 	clusters atomic.Pointer[map[group.Service]*cluster]
+	homes    atomic.Pointer[homeTable]
+	held     heldLinks
 	// leaseUntil is the end of the right to act on the policy.
 	leaseUntil atomic.Pointer[time.Time]
 	draining   atomic.Bool
@@ -60,6 +65,8 @@
 	p := &Proxy{cfg: cfg, drained: make(chan struct{}), sessions: make(map[*session]struct{}), watchers: make(map[chan struct{}]struct{})}
 	p.clusters.Store(&map[group.Service]*cluster{})
 	p.leaseUntil.Store(&time.Time{})
+	p.homes.Store(&homeTable{})
+	p.held.all = make(map[uint64]*held)
 	return p
 }
 
@@ -119,6 +126,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.roster = roster
+	p.homes.Store(newHomeTable(p.cfg.Instance, p.homes.Load(), roster.Entries))
 	p.applyRoster()
 }
 
@@ -143,7 +151,7 @@
 		}
 	}
 	for name, c := range next {
-		limit := limitFor(currentPolicy.Services[name], p.roster.Entries)
+		limit := func(s fleet.Server) int { return p.limitFor(currentPolicy.Services[name], s) }
 		c.update(byService[name], p.roster.Partial, limit, p.cfg.Connector, p.cfg.Now)
 	}
 	p.clusters.Store(&next)
@@ -184,6 +192,12 @@
 const upkeepPeriod = time.Second
 
 func (p *Proxy) upkeep() {
+	if current := p.policy.Load(); current != nil && current.TransactionIdle > 0 {
+		for _, l := range p.held.expire(p.cfg.Now(), current.TransactionIdle+heldGrace) {
+			l.broken = true
+			l.release()
+		}
+	}
 	for _, c := range *p.clusters.Load() {
 		c.mu.Lock()
 		for _, pool := range c.pools {
@@ -227,7 +241,7 @@
 	end := p.cfg.Now().Add(transactions)
 	ticker := time.NewTicker(drainPoll)
 	defer ticker.Stop()
-	for p.endSessions(!p.cfg.Now().Before(end)) > 0 {
+	for p.endSessions(!p.cfg.Now().Before(end))+p.held.len() > 0 {
 		select {
 		case <-ctx.Done():
 			return
@@ -251,6 +265,9 @@
 // drainPoll is the time between two looks at the sessions that are left.
 const drainPoll = 20 * time.Millisecond
 
+// Draining tells whether a planned stop has begun.
+func (p *Proxy) Draining() bool { return p.draining.Load() }
+
 // Sessions returns the number of open sessions.
 func (p *Proxy) Sessions() int {
 	p.mu.Lock()
--- a/entry/proxy/request.go
+++ b/entry/proxy/request.go
@@ -1,10 +1,10 @@
 package proxy
 
 import (
-	"errors"
 	"time"
 
 	"lentilwind.dev/lentilwind/fleet"
+	"lentilwind.dev/lentilwind/forward"
 	"lentilwind.dev/lentilwind/group"
 	"lentilwind.dev/lentilwind/policy"
 	"lentilwind.dev/lentilwind/statement"
@@ -33,6 +33,8 @@
 	began   time.Time
 	tried   []*pool
 	offers  int
+	// least is the floor of the last offer to a replica.
+	least group.Floor
 }
 
 func (r *request) left() time.Duration {
@@ -59,14 +61,14 @@
 // onLeader offers the request to the primary until it was run or the time is over.
 //
 // The function try reports false when the statement has certainly not run and may be offered again.
-func (r *request) onLeader(try func(l *link, p *pool) (statement.Answer, bool)) statement.Answer {
+func (r *request) onLeader(try func(p *pool) (statement.Answer, bool)) statement.Answer {
 	last := statement.Refuse(statement.Busy, "no primary is known", statement.Idle)
 	for {
 		changed := r.cluster.watch()
 		now := r.session.proxy.cfg.Now()
 		p := r.cluster.leader(now)
 		if p != nil {
-			answer, final := r.offer(p, try)
+			answer, final := try(p)
 			if final {
 				return answer
 			}
@@ -87,9 +89,6 @@
 	}
 }
 
-// minOffer is the least time that is worth an offer to a database.
-const minOffer = 10 * time.Millisecond
-
 func pause(changed <-chan struct{}, limit time.Duration) {
 	clock := time.NewTimer(limit)
 	defer clock.Stop()
@@ -99,44 +98,44 @@
 	}
 }
 
-// offer gets a connection and tries the statement on it.
-func (r *request) offer(p *pool, try func(l *link, p *pool) (statement.Answer, bool)) (statement.Answer, bool) {
-	l, err := p.acquire(r.session.workspace, r.session.values, r.left())
-	if err != nil {
-		return statement.Refuse(statement.Busy, err.Error(), statement.Idle), false
-	}
-	defer func() {
-		if !l.held {
-			l.release()
-		}
-	}()
-	if err := l.fit(r.session.values, r.what.shape); err != nil {
-		return statement.Refuse(statement.Busy, "the connection was lost before the statement was sent", statement.Idle), false
+// work returns the work of the request's statement.
+func (r *request) work(timeout time.Duration, statements ...statement.Statement) forward.Work {
+	return forward.Work{
+		Workspace: r.session.workspace, Values: r.session.values, Shape: r.what.shape, Statements: statements,
+		Timeout: max(timeout, minOffer), Priority: r.route.Priority,
 	}
-	r.offers++
-	return try(l, p)
 }
 
-// onLink is the statement as it is sent on a connection.
-func (r *request) onLink(l *link) statement.Statement { return r.what.onLink(l) }
+// offer has work done at a database and counts it unless nothing was sent.
+func (r *request) offer(p *pool, work forward.Work) (forward.Result, *home) {
+	result, at := r.session.proxy.run(p, work)
+	if result.Failure != forward.NotSent {
+		r.offers++
+	}
+	return result, at
+}
 
-func (what resolved) onLink(l *link) statement.Statement {
-	st := what.Statement
-	if what.shape != nil {
-		st.Name = l.prepared[*what.shape]
+// unanswered tells the truth about a statement that got no answer; false means that it has not been sent.
+func unanswered(result forward.Result) (statement.Answer, bool) {
+	switch result.Failure {
+	case forward.NotSent:
+		return statement.Refuse(statement.Busy, result.Detail, statement.Idle), false
+	case forward.TimedOut:
+		return statement.Refuse(statement.TimedOut, "the database has not answered in time", statement.Idle), true
+	default:
+		return statement.Refuse(statement.Unknown, "the connection broke before the answer", statement.Idle), true
 	}
-	return st
 }
 
 // write runs a single write on the primary; it is sent again only after a server said that it has not run.
 func (r *request) write() statement.Answer {
-	answer := r.onLeader(func(l *link, p *pool) (statement.Answer, bool) {
+	return r.onLeader(func(p *pool) (statement.Answer, bool) {
 		sent := r.session.proxy.cfg.Now()
-		answers, err := l.exchange(max(r.left(), minOffer), r.onLink(l))
-		if err != nil {
-			return lostAnswer(err), true
+		result, _ := r.offer(p, r.work(r.left(), r.what.Statement))
+		if result.Failure != "" {
+			return unanswered(result)
 		}
-		answer := answers[0]
+		answer := result.Answers[0]
 		switch {
 		case answer.Outcome == statement.Done:
 			r.cluster.proven(p, answer.Position, sent)
@@ -148,52 +147,43 @@
 		}
 		return answer, !answer.Outcome.NotRun()
 	})
-	return answer
-}
-
-// lostAnswer tells the truth about a statement that was sent and not answered.
-func lostAnswer(err error) statement.Answer {
-	var timeout interface{ Timeout() bool }
-	if errors.As(err, &timeout) && timeout.Timeout() {
-		return statement.Refuse(statement.TimedOut, "the database has not answered in time", statement.Idle)
-	}
-	return statement.Refuse(statement.Unknown, "the connection broke before the answer", statement.Idle)
 }
 
 func (s *session) remember(service group.Service, position group.Floor) {
-	if last := s.own[service]; position.Term > last.Term || position.Term == last.Term && position.Position > last.Position {
+	if s.own[service].Less(position) {
 		s.own[service] = position
 	}
 }
 
 // readNewest runs a read on a server that has proven inside a transaction that it is the primary.
 func (r *request) readNewest() statement.Answer {
-	return r.onLeader(func(l *link, p *pool) (statement.Answer, bool) {
+	return r.onLeader(func(p *pool) (statement.Answer, bool) {
 		sent := r.session.proxy.cfg.Now()
-		answers, err := l.exchange(min(max(r.left(), minOffer), setupTimeout), beginOwn)
-		if err != nil {
-			return statement.Refuse(statement.Busy, "the primary has not answered", statement.Idle), r.left() <= minOffer
-		}
-		if answers[0].Outcome != statement.Done {
-			return answers[0], !answers[0].Outcome.NotRun()
+		work := r.work(r.left(), r.what.Statement)
+		work.Begin = &beginOwn
+		result, _ := r.offer(p, work)
+		if refusal, ok := r.opened(p, result, sent); !ok {
+			return refusal, !refusal.Outcome.NotRun() || r.left() <= minOffer
 		}
-		r.cluster.proven(p, answers[0].Position, sent)
-		answers, err = l.exchange(max(r.left(), minOffer), r.onLink(l), rollbackOwn)
-		if len(answers) == 0 {
-			return lostAnswer(err), r.left() <= minOffer
-		}
-		if len(answers) == 1 || answers[1].State != statement.Idle {
-			l.broken = true
+		if len(result.Answers) == 0 {
+			answer, _ := unanswered(result)
+			return answer, r.left() <= minOffer
 		}
-		return r.judgeRead(answers[0])
+		return r.judgeRead(result.Answers[0])
 	})
 }
 
-// beginOwn and rollbackOwn frame a read that must prove its server to be the primary.
-var (
-	beginOwn    = statement.Statement{ID: statement.Own, Verb: statement.Begin}
-	rollbackOwn = statement.Statement{ID: statement.Own, Verb: statement.Rollback}
-)
+// opened looks whether a server has accepted the transaction that proves it to be the primary.
+func (r *request) opened(p *pool, result forward.Result, sent time.Time) (statement.Answer, bool) {
+	if result.Opened == nil {
+		return statement.Refuse(statement.Busy, "the primary has not answered: "+result.Detail, statement.Idle), false
+	}
+	if result.Opened.Outcome != statement.Done {
+		return *result.Opened, false
+	}
+	r.cluster.proven(p, result.Opened.Position, sent)
+	return statement.Answer{}, true
+}
 
 // judgeRead tells whether the answer of a read is final; reads may be repeated as long as there is time.
 func (r *request) judgeRead(answer statement.Answer) (statement.Answer, bool) {
@@ -213,6 +203,7 @@
 	if !known {
 		return r.readNewest()
 	}
+	r.least = least
 	last := statement.Refuse(statement.Busy, "no database can be reached", statement.Idle)
 	for r.left() > minOffer && r.offers <= 2*max(1, r.route.Attempts) {
 		p := r.cluster.reader(r.session.proxy.near, r.tried)
@@ -224,7 +215,7 @@
 			time.Sleep(min(busyPause, r.left()))
 			continue
 		}
-		answer, final := r.offer(p, func(l *link, p *pool) (statement.Answer, bool) { return r.readAt(l, p, least) })
+		answer, final := r.readAt(p)
 		if final {
 			return answer
 		}
@@ -235,23 +226,24 @@
 }
 
 // readAt runs a read on one server with a floor.
-func (r *request) readAt(l *link, p *pool, least group.Floor) (statement.Answer, bool) {
-	st := r.onLink(l)
-	st.After = least
-	answers, err := l.exchange(max(r.left(), minOffer), st)
-	if err != nil {
-		return lostAnswer(err), false
+func (r *request) readAt(p *pool) (statement.Answer, bool) {
+	st := r.what.Statement
+	st.After = r.least
+	result, _ := r.offer(p, r.work(r.left(), st))
+	if result.Failure != "" {
+		answer, _ := unanswered(result)
+		return answer, false
 	}
 	now := r.session.proxy.cfg.Now()
-	switch answers[0].Outcome {
+	switch result.Answers[0].Outcome {
 	case statement.Lagging:
 		p.noteLagging(now.Add(laggingFor))
-		return answers[0], false
+		return result.Answers[0], false
 	case statement.Busy:
 		p.noteBusy(now.Add(busyFor))
-		return answers[0], false
+		return result.Answers[0], false
 	}
-	return r.judgeRead(answers[0])
+	return r.judgeRead(result.Answers[0])
 }
 
 func (r *request) floorOfSession() group.Floor {
--- a/entry/proxy/session.go
+++ b/entry/proxy/session.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"lentilwind.dev/lentilwind/forward"
 	"lentilwind.dev/lentilwind/group"
 	"lentilwind.dev/lentilwind/inventory"
 	"lentilwind.dev/lentilwind/policy"
@@ -19,7 +20,7 @@
 	key       string
 	workspace inventory.WorkspaceName
 	values    map[string]string
-	prepared  map[string]shape
+	prepared  map[string]forward.Shape
 	// own is the last position that a commit of this session was given.
 	own map[group.Service]group.Floor
 	tx  *transaction
@@ -102,7 +103,7 @@
 // abandon rolls back what a caller left open.
 func (s *session) abandon() {
 	if s.tx != nil {
-		s.tx.lose()
+		s.lose()
 	}
 	s.tx = nil
 }
@@ -170,9 +171,9 @@
 		return s.set(st)
 	case statement.Prepare:
 		if s.prepared == nil {
-			s.prepared = make(map[string]shape)
+			s.prepared = make(map[string]forward.Shape)
 		}
-		s.prepared[st.Name] = shape{readOnly: st.ReadOnly, text: st.Value}
+		s.prepared[st.Name] = forward.Shape{ReadOnly: st.ReadOnly, Text: st.Value}
 		return statement.Accept(state)
 	case statement.Deallocate:
 		delete(s.prepared, st.Name)
@@ -213,7 +214,7 @@
 type resolved struct {
 	statement.Statement
 	readOnly bool
-	shape    *shape
+	shape    *forward.Shape
 }
 
 // resolve finds out what a statement runs.
@@ -222,7 +223,7 @@
 		return resolved{Statement: st, readOnly: st.Verb == statement.Read}, true
 	}
 	prepared, found := s.prepared[st.Name]
-	return resolved{Statement: st, readOnly: prepared.readOnly, shape: &prepared}, found
+	return resolved{Statement: st, readOnly: prepared.ReadOnly, shape: &prepared}, found
 }
 
 // run answers a read or a write.
--- a/entry/proxy/transaction.go
+++ b/entry/proxy/transaction.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lentilwind.dev/lentilwind/forward"
 	"lentilwind.dev/lentilwind/policy"
 	"lentilwind.dev/lentilwind/statement"
 )
@@ -12,8 +13,11 @@
 	route    *policy.Route
 	readOnly bool
 	began    time.Time
-	// link is nil until the first statement needs a database.
-	link *link
+	// pool is the database that was chosen, nil until the first statement needs one.
+	pool *pool
+	// at keeps the connection, nil for this entry, under the name held; 0 means that there is none.
+	at   *home
+	held uint64
 	// failed transactions can only be rolled back.
 	failed bool
 	offers int
@@ -26,27 +30,14 @@
 	return answer
 }
 
-// lose gives up the connection of a transaction; the database rolls back.
-func (tx *transaction) lose() {
-	if tx.link != nil {
-		tx.link.broken = true
-		tx.drop()
+// lose gives up the connection of the transaction; the database rolls back.
+func (s *session) lose() {
+	if s.tx.held != 0 {
+		s.proxy.dropWork(s.tx.at, s.tx.held)
+		s.tx.held = 0
 	}
 }
 
-// hold keeps a connection until the transaction ends.
-func (tx *transaction) hold(l *link) {
-	l.held = true
-	tx.link = l
-}
-
-// drop gives the connection back.
-func (tx *transaction) drop() {
-	tx.link.held = false
-	tx.link.release()
-	tx.link = nil
-}
-
 // begin opens a transaction; a database is chosen by its first statement.
 func (s *session) begin(st statement.Statement) statement.Answer {
 	if s.tx != nil {
@@ -66,34 +57,47 @@
 	if tx.failed {
 		return statement.Refuse(statement.Malformed, "the transaction has failed; roll it back", statement.Failed)
 	}
-	if answer, ok := s.bind(what.ID); !ok {
-		return tx.fail(answer)
-	}
-	if tx.link.fit(s.values, what.shape) != nil {
-		tx.lose()
-		return tx.fail(statement.Refuse(statement.Aborted, "the connection was lost", statement.Failed))
-	}
 	tx.offers++
 	sent := s.proxy.cfg.Now()
-	answers, err := tx.link.exchange(tx.route.Timeout, what.onLink(tx.link))
-	if err != nil {
-		tx.lose()
+	result, refusal, ok := s.inTransaction(what, false)
+	switch {
+	case !ok:
+		return tx.fail(refusal)
+	case result.Failure != "":
+		s.lose()
 		return tx.fail(statement.Refuse(statement.Aborted, "the database has not answered; its transaction is rolled back", statement.Failed))
 	}
-	answer := answers[0]
+	answer := result.Answers[0]
 	if answer.State != statement.InTransaction {
 		tx.failed = true
 	} else if !tx.readOnly && answer.Outcome == statement.Done {
-		s.proxy.cluster(tx.route.Service).proven(tx.link.pool, answer.Position, sent)
+		s.proxy.cluster(tx.route.Service).proven(tx.pool, answer.Position, sent)
 	}
 	if answer.State == statement.Idle {
 		// The database has ended the transaction by itself; the caller still has to.
-		tx.lose()
+		s.lose()
 		answer.State = statement.Failed
 	}
 	return answer
 }
 
+// inTransaction runs a statement on the transaction's connection, or on a new one inside a transaction there.
+func (s *session) inTransaction(what resolved, end bool) (forward.Result, statement.Answer, bool) {
+	tx := s.tx
+	if tx.pool == nil {
+		return s.bind(what)
+	}
+	if tx.held == 0 {
+		return forward.Result{}, statement.Refuse(statement.Aborted, "the connection was lost", statement.Failed), false
+	}
+	result := s.proxy.continueWork(tx.at, forward.Work{
+		Workspace: s.workspace, Values: s.values, Shape: what.shape, Statements: []statement.Statement{what.Statement},
+		Held: tx.held, End: end, Timeout: tx.route.Timeout,
+	})
+	tx.held = result.Held
+	return result, statement.Answer{}, true
+}
+
 // end answers a commit or a rollback.
 func (s *session) end(st statement.Statement) statement.Answer {
 	tx := s.tx
@@ -118,115 +122,113 @@
 // rollBack ends the transaction at the database; a connection that does not answer is closed, which rolls back too.
 func (s *session) rollBack() statement.Answer {
 	tx := s.tx
-	if tx.link == nil {
-		return statement.Accept(statement.Idle)
-	}
-	answers, err := tx.link.exchange(setupTimeout, rollbackOwn)
-	if err != nil || answers[0].Outcome != statement.Done || answers[0].State != statement.Idle {
-		tx.link.broken = true
+	if tx.held != 0 {
+		s.proxy.continueWork(tx.at, forward.Work{
+			Values: s.values, Statements: []statement.Statement{rollbackOwn}, Held: tx.held, End: true, Timeout: setupTimeout,
+		})
+		tx.held = 0
 	}
-	tx.drop()
 	return statement.Accept(statement.Idle)
 }
 
 // commit passes the commit on; its outcome is unknown unless the database answers.
 func (s *session) commit(st statement.Statement) statement.Answer {
 	tx := s.tx
-	if answer, ok := s.bind(st.ID); !ok {
-		answer.State = statement.Idle
-		return answer
-	}
-	c := s.proxy.cluster(tx.route.Service)
 	sent := s.proxy.cfg.Now()
-	answers, err := tx.link.exchange(tx.route.Timeout, st)
-	if err != nil {
-		tx.lose()
-		answer := lostAnswer(err)
-		if tx.readOnly {
+	result, refusal, ok := s.inTransaction(resolved{Statement: st}, true)
+	if !ok {
+		refusal.State = statement.Idle
+		return refusal
+	}
+	if result.Failure != "" {
+		answer, wasSent := unanswered(result)
+		switch {
+		case !wasSent:
+			answer = statement.Refuse(statement.Aborted, "the connection was lost before the commit was sent", statement.Idle)
+		case tx.readOnly:
 			answer = statement.Refuse(statement.Aborted, "the database has not answered; nothing was written", statement.Idle)
 		}
 		return answer
 	}
-	answer := answers[0]
-	if answer.State != statement.Idle {
-		tx.link.broken = true
-	}
+	answer := result.Answers[0]
 	if answer.Outcome == statement.Done && !tx.readOnly {
-		c.proven(tx.link.pool, answer.Position, sent)
+		s.proxy.cluster(tx.route.Service).proven(tx.pool, answer.Position, sent)
 		s.remember(tx.route.Service, answer.Position)
 	}
-	tx.drop()
 	answer.State = statement.Idle
 	return answer
 }
 
-// bind gives the transaction a database connection inside a transaction there.
-func (s *session) bind(id statement.ID) (statement.Answer, bool) {
+// bind runs the first statement of the transaction on a connection inside a transaction there.
+func (s *session) bind(what resolved) (forward.Result, statement.Answer, bool) {
 	tx := s.tx
-	if tx.link != nil {
-		return statement.Answer{}, true
-	}
 	c := s.proxy.cluster(tx.route.Service)
-	r := &request{
-		session: s, route: tx.route, cluster: c, began: s.proxy.cfg.Now(),
-		what: resolved{Statement: statement.Statement{ID: id}, readOnly: true},
-	}
 	if c == nil {
-		return statement.Refuse(statement.Busy, "no database of the service is known", statement.Failed), false
+		return forward.Result{}, statement.Refuse(statement.Busy, "no database of the service is known", statement.Failed), false
 	}
+	r := &request{session: s, route: tx.route, cluster: c, began: s.proxy.cfg.Now(), what: what}
+	b := &binding{request: r, tx: tx}
 	if tx.readOnly && tx.route.Consistency != policy.Newest {
-		return r.bindStale(tx)
+		return b.onReplica()
 	}
-	return r.bindPrimary(tx)
+	return b.onPrimary()
 }
 
-// bindPrimary begins the transaction on a server that proves to be the primary by it.
-func (r *request) bindPrimary(tx *transaction) (statement.Answer, bool) {
-	answer := r.onLeader(func(l *link, p *pool) (statement.Answer, bool) {
-		sent := r.session.proxy.cfg.Now()
-		answers, err := l.exchange(min(max(r.left(), minOffer), setupTimeout), beginOwn)
-		if err != nil {
-			return statement.Refuse(statement.Busy, "the primary has not answered", statement.Failed), false
-		}
-		if answers[0].Outcome == statement.Done {
-			r.cluster.proven(p, answers[0].Position, sent)
-			tx.hold(l)
+// binding looks for a database for a transaction.
+type binding struct {
+	*request
+	tx     *transaction
+	result forward.Result
+}
+
+// open begins the transaction on a server and runs its first statement there; false means that the server did not accept it.
+func (b *binding) open(p *pool, begin statement.Statement) bool {
+	work := b.work(b.left(), b.what.Statement)
+	// A commit ends the transaction at the database, so there is nothing to keep or to roll back after it.
+	work.Begin, work.Hold = &begin, true
+	result, at := b.offer(p, work)
+	b.result = result
+	if result.Opened == nil || result.Opened.Outcome != statement.Done {
+		return false
+	}
+	b.tx.pool, b.tx.at, b.tx.held = p, at, result.Held
+	return true
+}
+
+// onPrimary begins the transaction on a server that proves to be the primary by it.
+func (b *binding) onPrimary() (forward.Result, statement.Answer, bool) {
+	answer := b.onLeader(func(p *pool) (statement.Answer, bool) {
+		sent := b.session.proxy.cfg.Now()
+		accepted := b.open(p, beginOwn)
+		refusal, proven := b.opened(p, b.result, sent)
+		if accepted && proven {
+			return statement.Answer{}, true
 		}
-		return answers[0], !answers[0].Outcome.NotRun()
+		return refusal, !refusal.Outcome.NotRun()
 	})
-	return answer, tx.link != nil
+	return b.result, answer, b.tx.pool != nil
 }
 
-// bindStale begins a read-only transaction on the best server that has the needed position.
-func (r *request) bindStale(tx *transaction) (statement.Answer, bool) {
-	now := r.session.proxy.cfg.Now()
-	least, known := r.cluster.least(now, r.route.MaxStaleness-clockMargin, r.floorOfSession())
+// onReplica begins a read-only transaction on the best server that has the needed position.
+func (b *binding) onReplica() (forward.Result, statement.Answer, bool) {
+	now := b.session.proxy.cfg.Now()
+	least, known := b.cluster.least(now, b.route.MaxStaleness-clockMargin, b.floorOfSession())
 	if !known {
-		return r.bindPrimary(tx)
+		return b.onPrimary()
 	}
 	begin := statement.Statement{ID: statement.Own, Verb: statement.Begin, ReadOnly: true, After: least}
-	for r.left() > minOffer {
-		p := r.cluster.reader(r.session.proxy.near, r.tried)
+	for b.left() > minOffer {
+		p := b.cluster.reader(b.session.proxy.near, b.tried)
 		if p == nil {
-			return r.bindPrimary(tx)
+			return b.onPrimary()
 		}
-		r.tried = append(r.tried, p)
-		_, bound := r.offer(p, func(l *link, p *pool) (statement.Answer, bool) {
-			answers, err := l.exchange(min(max(r.left(), minOffer), setupTimeout), begin)
-			if err != nil {
-				return statement.Answer{}, false
-			}
-			if answers[0].Outcome == statement.Lagging {
-				p.noteLagging(now.Add(laggingFor))
-			}
-			if answers[0].Outcome == statement.Done {
-				tx.hold(l)
-			}
-			return answers[0], tx.link != nil
-		})
-		if bound {
-			return statement.Answer{}, true
+		b.tried = append(b.tried, p)
+		if b.open(p, begin) {
+			return b.result, statement.Answer{}, true
+		}
+		if b.result.Opened != nil && b.result.Opened.Outcome == statement.Lagging {
+			p.noteLagging(now.Add(laggingFor))
 		}
 	}
-	return statement.Refuse(statement.Busy, "no database has the needed position in time", statement.Failed), false
+	return b.result, statement.Refuse(statement.Busy, "no database has the needed position in time", statement.Failed), false
 }
--- a/entry/renewal/agent.go
+++ b/entry/renewal/agent.go
@@ -32,10 +32,13 @@
 	ExtendLease(until time.Time)
 	Policy() *policy.Policy
 	Reports() []fleet.ServerReport
+	Draining() bool
 }
 
 // Config is what an agent needs.
 type Config struct {
+	// Entry is how this entry is known to the others.
+	Entry  fleet.Entry
 	Client *peer.Client
 	Target Target
 	// Decode turns a document into the policy that it describes.
@@ -151,7 +154,8 @@
 }
 
 func (a *Agent) send(ctx context.Context, address string, relay bool) error {
-	request := fleet.RenewRequest{Roster: a.roster, Wait: hold, Reports: a.cfg.Target.Reports(), Relay: relay}
+	request := fleet.RenewRequest{Roster: a.roster, Wait: hold, Reports: a.cfg.Target.Reports(), Relay: relay, Entry: a.cfg.Entry}
+	request.Entry.Leaving = a.cfg.Target.Draining()
 	if current := a.cfg.Target.Policy(); current != nil {
 		request.Version = current.Version
 	}
--- a/instance/peer/client.go
+++ b/instance/peer/client.go
@@ -24,8 +24,13 @@
 	userTimeout = 1500 * time.Millisecond
 )
 
-// ErrUnavailable is wrapped by errors about a process that did not answer; the call may have been carried out.
-var ErrUnavailable = errors.New("peer: unavailable")
+// Errors about a process that did not answer.
+var (
+	// ErrUnavailable is wrapped by all of them; the call may have been carried out.
+	ErrUnavailable = errors.New("peer: unavailable")
+	// ErrNotSent is wrapped besides where the call has certainly not arrived.
+	ErrNotSent = errors.New("not sent")
+)
 
 // Client calls other processes over one connection to each address.
 type Client struct {
@@ -88,9 +93,9 @@
 	case <-link.ready:
 		return link, nil
 	case <-link.done:
-		return nil, fmt.Errorf("%w: %s: no connection", ErrUnavailable, address)
+		return nil, fmt.Errorf("%w: %w: %s: no connection", ErrUnavailable, ErrNotSent, address)
 	case <-ctx.Done():
-		return nil, fmt.Errorf("%w: %s: %w", ErrUnavailable, address, ctx.Err())
+		return nil, fmt.Errorf("%w: %w: %s: %w", ErrUnavailable, ErrNotSent, address, ctx.Err())
 	}
 }
 
--- a/lentilwind/fleet/fleet.go
+++ b/lentilwind/fleet/fleet.go
@@ -64,8 +64,18 @@
 	Servers []Server      `cbor:"2,keyasint"`
 	// Partial rosters name only some servers, so that those not named stay.
 	Partial bool `cbor:"3,keyasint,omitempty"`
-	// Entries is the number of entries that share the databases' connections.
-	Entries int `cbor:"4,keyasint"`
+	// Entries are the live entries, among which the connections to databases are divided.
+	Entries []Entry `cbor:"4,keyasint"`
+}
+
+// Entry is one live entry as it reports itself.
+type Entry struct {
+	Name       inventory.InstanceName `cbor:"1,keyasint"`
+	DataCentre inventory.DataCentre   `cbor:"2,keyasint"`
+	// Address takes work for databases, as IP and port.
+	Address string `cbor:"3,keyasint"`
+	// Leaving entries take no new work.
+	Leaving bool `cbor:"4,keyasint,omitempty"`
 }
 
 // ServerReport is what an entry has seen of one database.
@@ -93,8 +103,7 @@
 	Reports []ServerReport `cbor:"4,keyasint,omitempty"`
 	// Relay asks a process that does not lead to pass the request on.
 	Relay bool `cbor:"5,keyasint,omitempty"`
-	// Entry names the entry where another process has passed the request on.
-	Entry inventory.InstanceName `cbor:"6,keyasint,omitempty"`
+	Entry Entry `cbor:"6,keyasint"`
 }
 
 // RenewReply grants a lease on the newest configuration.
--- /dev/null
+++ b/lentilwind/forward/forward.go
@@ -0,0 +1,73 @@
+package forward
+
+import (
+	"time"
+
+	"lentilwind.dev/lentilwind/group"
+	"lentilwind.dev/lentilwind/inventory"
+	"lentilwind.dev/lentilwind/protocol"
+	"lentilwind.dev/lentilwind/statement"
+)
+
+// KindWork is a Work, answered with a Result.
+const KindWork protocol.Kind = "work"
+
+// Shape is what a prepared statement runs.
+type Shape struct {
+	ReadOnly bool   `cbor:"1,keyasint,omitempty"`
+	Text     string `cbor:"2,keyasint"`
+}
+
+// Work is a sequence of statements for one connection to a database.
+type Work struct {
+	Service   group.Service           `cbor:"1,keyasint"`
+	Server    group.Server            `cbor:"2,keyasint"`
+	Workspace inventory.WorkspaceName `cbor:"3,keyasint,omitempty"`
+	// Values are the session's values, which the connection must carry.
+	Values map[string]string `cbor:"4,keyasint,omitempty"`
+	// Shape is what an Execute among the statements runs.
+	Shape *Shape `cbor:"5,keyasint,omitempty"`
+	// Begin opens a transaction first; unless it succeeds, nothing else is run.
+	Begin *statement.Statement `cbor:"6,keyasint,omitempty"`
+	// Statements run in order; the transaction of a Begin is rolled back after them unless Hold is set.
+	Statements []statement.Statement `cbor:"7,keyasint,omitempty"`
+	// Hold keeps the connection for further work of the transaction.
+	Hold bool `cbor:"8,keyasint,omitempty"`
+	// Held continues on a connection that was kept.
+	Held uint64 `cbor:"9,keyasint,omitempty"`
+	// End gives a kept connection back, and Drop closes it, which rolls back.
+	End  bool `cbor:"10,keyasint,omitempty"`
+	Drop bool `cbor:"11,keyasint,omitempty"`
+	// Timeout bounds all of it, the wait for a connection included.
+	Timeout time.Duration `cbor:"12,keyasint"`
+	// Priority orders work that waits for a connection; 0 goes first.
+	Priority int `cbor:"13,keyasint,omitempty"`
+}
+
+// Failure tells why work got no answer from the database.
+type Failure string
+
+// The failures.
+const (
+	// NotSent means that no statement of the caller has reached the database.
+	NotSent Failure = "notSent"
+	// Lost means that the connection broke before the answer.
+	Lost Failure = "lost"
+	// TimedOut means that the answer has not come in time.
+	TimedOut Failure = "timedOut"
+)
+
+// Result is what became of a Work.
+type Result struct {
+	// Answers are those of the statements, as many as there were before a failure.
+	Answers []statement.Answer `cbor:"1,keyasint,omitempty"`
+	// Opened is the answer to Begin.
+	Opened *statement.Answer `cbor:"2,keyasint,omitempty"`
+	// Failure is empty when every statement was answered, or when Begin was refused.
+	Failure Failure `cbor:"3,keyasint,omitempty"`
+	Detail  string  `cbor:"4,keyasint,omitempty"`
+	// Held names the kept connection, 0 if there is none.
+	Held uint64 `cbor:"5,keyasint,omitempty"`
+	// Load is how much work runs or waits for the database at the sender.
+	Load int `cbor:"6,keyasint,omitempty"`
+}
--- a/lentilwind/statement/statement.go
+++ b/lentilwind/statement/statement.go
@@ -34,20 +34,20 @@
 
 // Statement is one request of a caller or of the proxy.
 type Statement struct {
-	ID   ID
-	Verb Verb
+	ID   ID   `cbor:"1,keyasint,omitempty"`
+	Verb Verb `cbor:"2,keyasint,omitempty"`
 	// Text is what the caller sent; it travels unchanged, save for the names of prepared statements.
-	Text string
+	Text string `cbor:"3,keyasint,omitempty"`
 	// ReadOnly marks transactions and prepared statements that write nothing.
-	ReadOnly bool
+	ReadOnly bool `cbor:"4,keyasint,omitempty"`
 	// Name names a session value or a prepared statement.
-	Name string
+	Name string `cbor:"5,keyasint,omitempty"`
 	// Value is the value of a Set, the shape of a Prepare, or the arguments of an Execute.
-	Value string
+	Value string `cbor:"6,keyasint,omitempty"`
 	// Term is the term of a Demote or Suspend.
-	Term group.Term
+	Term group.Term `cbor:"7,keyasint,omitempty"`
 	// After is the least position that the database must have for the statement to run; zero asks for none.
-	After group.Floor
+	After group.Floor `cbor:"8,keyasint,omitempty"`
 }
 
 // State is the transaction state of a session after an answer.
@@ -108,27 +108,27 @@
 
 // Answer is the whole answer to one statement.
 type Answer struct {
-	Rows []string
+	Rows []string `cbor:"1,keyasint,omitempty"`
 	// Signature is what the database signed its success with.
-	Signature string
-	Outcome   Outcome
+	Signature string  `cbor:"2,keyasint,omitempty"`
+	Outcome   Outcome `cbor:"3,keyasint,omitempty"`
 	// Detail explains a failure.
-	Detail string
-	State  State
+	Detail string `cbor:"4,keyasint,omitempty"`
+	State  State  `cbor:"5,keyasint,omitempty"`
 	// Position is the end of the database's log; zero when it was not told.
-	Position group.Floor
+	Position group.Floor `cbor:"6,keyasint,omitempty"`
 	// Report answers a Status, a Demote or a Suspend.
-	Report *Report
+	Report *Report `cbor:"7,keyasint,omitempty"`
 }
 
 // Report is what a database says of itself.
 type Report struct {
-	Primary bool
-	Term    group.Term
+	Primary bool       `cbor:"1,keyasint,omitempty"`
+	Term    group.Term `cbor:"2,keyasint,omitempty"`
 	// Received is the last position that the database has received, which it may not have applied yet.
-	Received group.Floor
+	Received group.Floor `cbor:"3,keyasint,omitempty"`
 	// Suspended is the term for which the database has stopped to receive, 0 for none.
-	Suspended group.Term
+	Suspended group.Term `cbor:"4,keyasint,omitempty"`
 }
 
 // Refuse returns the answer of a statement that failed.
