Control fails over within a second and quota goes on meanwhile

Cause 1: with the leader frozen, elections (700 to 1,400 ms) and renewals (700 ms) took two seconds, in which entries had no quota. Cause 2: a leader with all floors set aside told entries to ask again in an hour (found with floors of the whole quota).

--- a/control/coordinator/coordinator.go
+++ b/control/coordinator/coordinator.go
@@ -84,9 +84,9 @@
 	snapshotEntries = 256
 	snapshotBytes   = 512 << 10
 	keptEntries     = 16
-	// heartbeat and election allow for two delayed packets and a slow sync before a leader is given up.
-	heartbeat = 120 * time.Millisecond
-	election  = 700 * time.Millisecond
+	// heartbeat and election allow for one lost packet, which costs about 200 ms, and for a sync of a slow disk.
+	heartbeat = 60 * time.Millisecond
+	election  = 350 * time.Millisecond
 )
 
 // Coordinator is one control process.
--- a/control/coordinator/leadership.go
+++ b/control/coordinator/leadership.go
@@ -66,7 +66,7 @@
 		now := l.c.cfg.Now()
 		l.term = term
 		l.roster = newRoster(term, l.c.cfg.AnnouncePeriod, now)
-		l.quota = quota.NewLeader(quota.DefaultSettings(), uint64(term), now)
+		l.quota = quota.NewLeader(quota.QuickSettings(), uint64(term), now)
 		l.version, l.listed = 0, nil
 		l.entries, l.live = make(map[inventory.InstanceName]contact), nil
 		l.duty = newPromoter(l.c, l.roster)
--- a/entry/renewal/agent.go
+++ b/entry/renewal/agent.go
@@ -18,9 +18,9 @@
 // Times of renewals.
 const (
 	// hold is how long the leader may keep a request until something changes.
-	hold = 300 * time.Millisecond
-	// answerTime is allowed beside hold; a healthy leader answers within a few milliseconds.
-	answerTime = 400 * time.Millisecond
+	hold = 200 * time.Millisecond
+	// answerTime is allowed beside hold: a healthy leader answers within a few milliseconds, a lost packet costs about 200.
+	answerTime = 250 * time.Millisecond
 	// retryDelay is the pause after every known control process has failed.
 	retryDelay = 50 * time.Millisecond
 )
@@ -56,13 +56,17 @@
 	seeds    []string
 	controls []string
 	leader   string
+	// failed holds when an address last did not answer.
+	failed map[string]time.Time
 
 	roster fleet.RosterVersion
 	lost   bool
 }
 
 // New returns an agent that first asks the seeds.
-func New(cfg Config, seeds []string) *Agent { return &Agent{cfg: cfg, seeds: seeds} }
+func New(cfg Config, seeds []string) *Agent {
+	return &Agent{cfg: cfg, seeds: seeds, failed: make(map[string]time.Time)}
+}
 
 // SetSeeds replaces the addresses that are asked when nothing better is known.
 func (a *Agent) SetSeeds(seeds []string) {
@@ -71,7 +75,7 @@
 	a.seeds = seeds
 }
 
-// candidates returns the addresses to ask, the likely leader first.
+// candidates returns the addresses to ask, the likely leader first and those that have failed lately last.
 func (a *Agent) candidates() []string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -84,6 +88,7 @@
 			all = append(all, address)
 		}
 	}
+	slices.SortStableFunc(all, func(x, y string) int { return a.failed[x].Compare(a.failed[y]) })
 	return all
 }
 
@@ -134,7 +139,7 @@
 		err = a.send(ctx, address, relay)
 	}
 	if err != nil {
-		a.cfg.Log.Debug().Err(err).Str("address", address).Msg("renewalFailed")
+		a.cfg.Log.Debug().Err(err).Str("address", address).Bool("relay", relay).Msg("renewalFailed")
 		a.setLeader(address, false)
 		return false
 	}
@@ -153,6 +158,17 @@
 	}
 }
 
+// noteFailure remembers that an address has not answered, or that it has again.
+func (a *Agent) noteFailure(address string, failed bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if failed {
+		a.failed[address] = a.cfg.Now()
+	} else {
+		delete(a.failed, address)
+	}
+}
+
 func (a *Agent) send(ctx context.Context, address string, relay bool) error {
 	request := fleet.RenewRequest{Roster: a.roster, Wait: hold, Reports: a.cfg.Target.Reports(), Relay: relay, Entry: a.cfg.Entry}
 	request.Entry.Leaving = a.cfg.Target.Draining()
@@ -163,7 +179,9 @@
 	calling, done := context.WithTimeout(ctx, hold+answerTime)
 	defer done()
 	var reply fleet.RenewReply
-	if err := a.cfg.Client.Call(calling, address, fleet.KindRenew, request, &reply); err != nil {
+	err := a.cfg.Client.Call(calling, address, fleet.KindRenew, request, &reply)
+	a.noteFailure(address, errors.Is(err, peer.ErrUnavailable))
+	if err != nil {
 		return err
 	}
 	a.apply(sent, reply)
--- a/lentilwind/fleet/fleet.go
+++ b/lentilwind/fleet/fleet.go
@@ -102,7 +102,7 @@
 	Wait    time.Duration  `cbor:"3,keyasint"`
 	Reports []ServerReport `cbor:"4,keyasint,omitempty"`
 	// Relay asks a process that does not lead to pass the request on.
-	Relay bool `cbor:"5,keyasint,omitempty"`
+	Relay bool  `cbor:"5,keyasint,omitempty"`
 	Entry Entry `cbor:"6,keyasint"`
 }
 
--- a/lentilwind/quota/bucket.go
+++ b/lentilwind/quota/bucket.go
@@ -33,12 +33,15 @@
 	return uint32(taken)
 }
 
-// until returns the time until a number of tokens will be there.
+// maxRetryAfter bounds what an entry is told to wait: the bucket fills faster as soon as floor shares come back.
+const maxRetryAfter = 100 * time.Millisecond
+
+// until returns the time until a number of tokens will be there, or after which it is worth asking again.
 func (b *bucket) until(tokens float64) time.Duration {
 	if b.rate <= 0 {
-		return time.Hour
+		return maxRetryAfter
 	}
-	return max(0, time.Duration((tokens-b.level)/b.rate*float64(time.Second)))
+	return min(max(0, time.Duration((tokens-b.level)/b.rate*float64(time.Second))), maxRetryAfter)
 }
 
 // shape returns the bucket size and rate out of which grants of a lifetime keep the uses within the limits.
--- a/lentilwind/quota/quota_test.go
+++ b/lentilwind/quota/quota_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"lentilwind.dev/lentilwind/inventory"
+	"lentilwind.dev/lentilwind/protocol"
 	"lentilwind.dev/lentilwind/quota"
 )
 
@@ -184,3 +185,16 @@
 	fmt.Println(w.admitted+w.refused, w.admitted <= 51, w.admitted >= 49)
 	// Output: 100 true true
 }
+
+// A leader that has set every floor share aside has nothing to give, but only until the entries have proven their contact.
+func TestEmptyLeaderDoesNotSilenceEntries(t *testing.T) {
+	start := time.Unix(1000, 0)
+	leader := quota.NewLeader(quota.QuickSettings(), 2, start)
+	leader.Configure(
+		[]inventory.Workspace{{Name: "orders", Rate: 10, Burst: 10}}, []inventory.InstanceName{"entry-1", "entry-2"}, start,
+	)
+	reply := leader.Draw(&protocol.DrawRequest{Entry: "entry-1", Draws: []protocol.Draw{{Workspace: "orders", Want: 1, Need: 1}}}, start)
+	if got := reply.Grants[0]; got.Granted != 0 || got.RetryAfter <= 0 || got.RetryAfter > time.Second {
+		t.Fatalf("the leader granted %d and told the entry to wait for %v", got.Granted, got.RetryAfter)
+	}
+}
--- a/lentilwind/quota/settings.go
+++ b/lentilwind/quota/settings.go
@@ -24,6 +24,16 @@
 	}
 }
 
+// QuickSettings returns the settings of a fleet that must go on at nearly its whole rate while control elects a leader: entries
+// fall back to their floor shares after a time in which a draw could have been lost and repeated, and the shares make up all of
+// the quota.
+func QuickSettings() Settings {
+	s := DefaultSettings()
+	s.CutOffAfter = 500 * time.Millisecond
+	s.FloorFraction = 1
+	return s
+}
+
 // MaxDrift is the most by which two monotonic clocks differ, as a fraction of the elapsed time.
 const MaxDrift = 0.1
 
