--- a/control/coordinator/leadership.go
+++ b/control/coordinator/leadership.go
@@ -5,6 +5,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lentilwind.dev/lentilwind/fleet"
@@ -47,6 +48,8 @@
 	live    []fleet.Entry
 	changed notifier
 	duty    *promoter
+	// recording is true while a proposal of this process for the record is under way.
+	recording atomic.Bool
 }
 
 func newLeadership(c *Coordinator) *leadership {
@@ -65,7 +68,7 @@
 	if l.term != term {
 		now := l.c.cfg.Now()
 		l.term = term
-		l.roster = newRoster(term, l.c.cfg.AnnouncePeriod, now)
+		l.roster = newRoster(term, l.c.cfg.AnnouncePeriod, l.c.state.Load().Servers, now)
 		l.quota = quota.NewLeader(quota.QuickSettings(), uint64(term), now)
 		l.version, l.listed = 0, nil
 		l.entries, l.live = make(map[inventory.InstanceName]contact), nil
@@ -109,10 +112,10 @@
 		}
 		l.noteLive(now)
 		duty, reports := l.duty, l.reports(now)
-		wanted := l.wantedEntries(now)
+		commands := l.unrecorded(now)
 		l.mu.Unlock()
-		if wanted != nil {
-			l.recordEntries(ctx, wanted)
+		for _, cmd := range commands {
+			l.record(ctx, cmd)
 		}
 		duty.look(ctx, now, reports)
 	}
@@ -155,12 +158,31 @@
 	return wanted
 }
 
-func (l *leadership) recordEntries(ctx context.Context, wanted []inventory.InstanceName) {
-	ctx, cancel := context.WithTimeout(ctx, proposeTime)
-	defer cancel()
-	if _, err := l.c.propose(ctx, command{Entries: wanted}); err != nil {
-		l.c.cfg.Log.Warn().Err(err).Msg("entriesNotRecorded")
+// unrecorded returns what the next leader should know and the journal does not.
+func (l *leadership) unrecorded(now time.Time) []command {
+	var commands []command
+	if wanted := l.wantedEntries(now); wanted != nil {
+		commands = append(commands, command{Entries: wanted})
 	}
+	if changed := l.roster.unrecorded(l.c.state.Load().Servers); len(changed) > 0 {
+		commands = append(commands, command{Servers: changed})
+	}
+	return commands
+}
+
+// record proposes without waiting: what is lost is proposed again with the next look.
+func (l *leadership) record(ctx context.Context, cmd command) {
+	if l.recording.Swap(true) {
+		return
+	}
+	go func() {
+		defer l.recording.Store(false)
+		ctx, cancel := context.WithTimeout(ctx, proposeTime)
+		defer cancel()
+		if _, err := l.c.propose(ctx, cmd); err != nil {
+			l.c.cfg.Log.Warn().Err(err).Msg("rosterNotRecorded")
+		}
+	}()
 }
 
 // liveEntries returns the entries that share the databases' connections, ordered by name.
--- a/control/coordinator/promoter.go
+++ b/control/coordinator/promoter.go
@@ -15,7 +15,7 @@
 // Times of promotion.
 const (
 	// probePeriod is the time between two questions to a primary, which cost it no slot.
-	probePeriod = 150 * time.Millisecond
+	probePeriod = 100 * time.Millisecond
 	// probeTime is how long a primary may take to answer one.
 	probeTime = 350 * time.Millisecond
 	// statusTime bounds the question for a replica's position.
--- a/control/coordinator/roster.go
+++ b/control/coordinator/roster.go
@@ -35,11 +35,36 @@
 	appointed map[group.Service]time.Time
 }
 
-func newRoster(term journal.Term, period time.Duration, now time.Time) *roster {
-	return &roster{
+// newRoster returns the roster of a leader that starts from what its predecessors have recorded.
+func newRoster(term journal.Term, period time.Duration, recorded map[group.Server]fleet.Server, now time.Time) *roster {
+	r := &roster{
 		period: period, version: fleet.RosterVersion{Term: term, Number: 1}, began: now,
 		servers: make(map[group.Server]known), appointed: make(map[group.Service]time.Time),
 	}
+	for name, s := range recorded {
+		r.servers[name] = known{Server: s, heard: now}
+	}
+	return r
+}
+
+// unrecorded returns what has changed against the record; the numbers of announcements are not recorded.
+func (r *roster) unrecorded(recorded map[group.Server]fleet.Server) []fleet.Server {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var changed []fleet.Server
+	for name, s := range r.servers {
+		s.Sequence = 0
+		old, found := recorded[name]
+		if s.Gone && found || !s.Gone && old != s.Server {
+			changed = append(changed, s.Server)
+		}
+	}
+	for name := range recorded {
+		if _, found := r.servers[name]; !found {
+			changed = append(changed, fleet.Server{Name: name, Gone: true})
+		}
+	}
+	return changed
 }
 
 // announce takes in what a database says of itself and reports whether anything that entries see has changed.
--- a/control/coordinator/state.go
+++ b/control/coordinator/state.go
@@ -25,6 +25,7 @@
 	Document    *fleet.Document          `cbor:"1,keyasint,omitempty"`
 	Appointment *appointment             `cbor:"2,keyasint,omitempty"`
 	Entries     []inventory.InstanceName `cbor:"3,keyasint,omitempty"`
+	Servers     []fleet.Server           `cbor:"4,keyasint,omitempty"`
 }
 
 // state is the replicated state; it is replaced as a whole.
@@ -33,6 +34,8 @@
 	Appointments map[group.Service]appointment `cbor:"2,keyasint"`
 	// Entries are the entries that may hold parts of the quota.
 	Entries []inventory.InstanceName `cbor:"3,keyasint"`
+	// Servers are the databases that have announced themselves, from which a new leader starts.
+	Servers map[group.Server]fleet.Server `cbor:"4,keyasint"`
 }
 
 // apply returns the state after a command.
@@ -53,6 +56,18 @@
 		next.Appointments[a.Service] = a
 	case c.Entries != nil:
 		next.Entries = slices.Clone(c.Entries)
+	case c.Servers != nil:
+		next.Servers = maps.Clone(s.Servers)
+		if next.Servers == nil {
+			next.Servers = make(map[group.Server]fleet.Server)
+		}
+		for _, server := range c.Servers {
+			if server.Gone {
+				delete(next.Servers, server.Name)
+			} else {
+				next.Servers[server.Name] = server
+			}
+		}
 	}
 	return &next
 }
--- a/lentilwind/succession/service.go
+++ b/lentilwind/succession/service.go
@@ -39,7 +39,7 @@
 	// silentProbes is how many questions in a row must have got no answer.
 	silentProbes = 2
 	// entryFresh is how recent an entry's last answer from a primary must be to speak for it.
-	entryFresh = 600 * time.Millisecond
+	entryFresh = 400 * time.Millisecond
 	// reportFresh is how old a report may be.
 	reportFresh = 900 * time.Millisecond
 	// missingFor is how long a group may be without a claimed primary: two announcements and a delay.
