--- a/entry/proxy/session.go
+++ b/entry/proxy/session.go
@@ -145,6 +145,14 @@
 	return route, statement.Answer{}, true
 }
 
+// Limits of the wait for a part of the quota.
+const (
+	// untriedShare is the part of the latency target, as its inverse, after which a refusal comes too late to be of use.
+	untriedShare = 4
+	// minQuotaWait lets one lost question to the leader be repeated.
+	minQuotaWait = 50 * time.Millisecond
+)
+
 // admit decides whether an operation may begin: route, key and quota.
 func (s *session) admit(id statement.ID) (*policy.Route, statement.Answer, bool) {
 	route, refusal, ok := s.authorize()
@@ -155,7 +163,9 @@
 	if s.workspace == "" {
 		return route, statement.Answer{}, true
 	}
-	if err := s.proxy.cfg.Admission.Acquire(context.Background(), s.workspace); err != nil {
+	ctx, cancel := context.WithTimeout(context.Background(), max(minQuotaWait, route.Target/untriedShare))
+	defer cancel()
+	if err := s.proxy.cfg.Admission.Acquire(ctx, s.workspace); err != nil {
 		refusal = statement.Refuse(statement.Overloaded, "the workspace is over its rate; retry after 1 s", statement.Idle)
 		s.logRefusal(id, "quota", refusal)
 		return nil, refusal, false
