Work waits for its turn at the home, by priority and within its patience

Cause: with replicas lagging, all reads went to the primary, whose queue refused what it could not hold; entries offered again and again, and attempts to reach dark servers took the time of callers' requests.

--- a/entry/proxy/cluster.go
+++ b/entry/proxy/cluster.go
@@ -118,7 +118,8 @@
 	// primaryCost leaves the primary to those reads and writes that need it.
 	primaryCost = 2
 	busyCost    = 6
-	laggingCost = 12
+	// laggingCost leaves out a replica that lacked a position a moment ago as long as any other server has room.
+	laggingCost = 200
 )
 
 // reader returns the best server for a read with a floor, apart from those already tried.
@@ -175,7 +176,7 @@
 }
 
 // update takes the roster's servers of this service in.
-func (c *cluster) update(servers []fleet.Server, partial bool, limit func(fleet.Server) int, connector database.Connector, now func() time.Time) {
+func (c *cluster) update(servers []fleet.Server, partial bool, limits func(fleet.Server) (limit, width int), connector database.Connector, now func() time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	named := make(map[group.Server]bool)
@@ -188,7 +189,8 @@
 			p = nil
 		}
 		if p == nil {
-			c.pools[s.Name] = newPool(s, connector, now, limit(s))
+			limit, width := limits(s)
+			c.pools[s.Name] = newPool(s, connector, now, limit, width)
 			changed = true
 			continue
 		}
@@ -197,7 +199,7 @@
 			delete(c.refused, s.Name)
 		}
 		p.setServer(s)
-		p.setLimit(limit(s))
+		p.setLimits(limits(s))
 	}
 	for id, p := range c.pools {
 		if !named[id] && !partial {
--- a/entry/proxy/executor.go
+++ b/entry/proxy/executor.go
@@ -135,7 +135,7 @@
 	if pool == nil {
 		return failed(forward.NotSent, "the server is not known")
 	}
-	l, err := pool.acquire(work.Workspace, work.Values, work.Priority, work.Timeout)
+	l, err := pool.acquire(work)
 	if err != nil {
 		result := failed(forward.NotSent, err.Error())
 		result.Load = pool.busyness()
@@ -144,6 +144,8 @@
 	result := p.runOn(l, work, end)
 	if result.Held == 0 {
 		l.release()
+	} else {
+		l.rest()
 	}
 	result.Load = pool.busyness()
 	return result
@@ -157,16 +159,19 @@
 	}
 	if work.Drop {
 		p.held.forget(work.Held)
+		l.resume()
 		l.broken = true
 		l.release()
 		return forward.Result{}
 	}
+	l.resume()
 	result := p.runOn(l, work, end)
 	if work.End || l.broken {
 		p.held.forget(work.Held)
 		l.release()
 		return result
 	}
+	l.rest()
 	p.held.put(work.Held, p.cfg.Now())
 	result.Held = work.Held
 	return result
--- a/entry/proxy/homes.go
+++ b/entry/proxy/homes.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"slices"
 
 	"lentilwind.dev/lentilwind/fleet"
 	"lentilwind.dev/lentilwind/inventory"
@@ -101,20 +102,21 @@
 	return table
 }
 
-// limitFor divides the connections of one database among its homes.
-func (p *Proxy) limitFor(service *policy.Service, s fleet.Server) int {
-	if service == nil {
-		return 1
-	}
+// limitsFor divides the connections of one database, and the work under way there, among its homes.
+func (p *Proxy) limitsFor(service *policy.Service, s fleet.Server) (limit, width int) {
 	homes := p.homesOf(s)
 	self := p.homes.Load().self
-	for _, h := range homes {
-		if h == self {
-			return max(1, (service.MaxConnections-reservedConnections)/len(homes))
-		}
+	work := max(1, s.Slots) + spareWork
+	if service == nil || !slices.Contains(homes, self) {
+		return strangerLimit, strangerLimit
 	}
-	return reservedConnections / 2
+	share := func(n int) int { return max(1, (n+len(homes)-1)/len(homes)) }
+	return max(1, (service.MaxConnections-reservedConnections)/len(homes)), share(work)
 }
 
-// reservedConnections are left to control and to entries that cannot reach a home, for each database.
-const reservedConnections = 4
+const (
+	// reservedConnections are left to control and to entries that cannot reach a home, for each database.
+	reservedConnections = 4
+	// strangerLimit is how many connections an entry opens to a database that it is no home of.
+	strangerLimit = 2
+)
--- a/entry/proxy/pool.go
+++ b/entry/proxy/pool.go
@@ -16,14 +16,20 @@
 
 // Times and sizes of pools.
 const (
-	// connectTimeout bounds the opening of a connection; databases need about 12 ms.
-	connectTimeout = 700 * time.Millisecond
+	// connectTimeout bounds the opening of a connection; databases need about 12 ms, and more when their slots are taken.
+	connectTimeout = 400 * time.Millisecond
 	// fullPause is how long a pool opens no further connection after the database refused one for its limit.
 	fullPause = 100 * time.Millisecond
 	// downPause is the time between attempts to reach a server that did not answer.
-	downPause = 250 * time.Millisecond
+	downPause = 200 * time.Millisecond
 	// idleLimit is how long an unused connection is kept.
 	idleLimit = 20 * time.Second
+	// spareWork is how much work may be under way beyond a server's slots, so that no slot waits for the next one.
+	spareWork = 1
+	// paceWeight is the weight of one more sample in the mean time of work.
+	paceWeight = 0.05
+	// firstPace is the time of work that is assumed before there is a sample.
+	firstPace = 20 * time.Millisecond
 )
 
 // Failures of acquiring a connection; nothing was sent to the server.
@@ -31,6 +37,7 @@
 	errNoConnection = errors.New("proxy: no connection in time")
 	errDown         = errors.New("proxy: the server does not answer")
 	errGone         = errors.New("proxy: another server answers at the address")
+	errTooLong      = errors.New("proxy: the expected wait is too long")
 )
 
 // link is one pooled connection with the session state that it carries.
@@ -40,71 +47,84 @@
 	workspace inventory.WorkspaceName
 	values    map[string]string
 	prepared  map[forward.Shape]string
-	used      time.Time
-	broken    bool
+	// began is the start of the current work and used the end of the last one.
+	began  time.Time
+	used   time.Time
+	broken bool
 }
 
-// pool holds this entry's connections to one database.
+// pool holds this entry's connections to one database and orders the work for it.
 type pool struct {
 	server    fleet.Server
 	connector database.Connector
 	now       func() time.Time
 
-	mu      sync.Mutex
-	limit   int
-	open    int
-	idle    []*link
+	mu sync.Mutex
+	// limit bounds the connections and width the work under way.
+	limit, width int
+	open         int
+	running      int
+	idle         []*link
+	// waiting is ordered by priority, then by arrival.
 	waiting []*waiter
-	closed  bool
-	// fullUntil and downUntil hold attempts to connect back.
+	// pace is the mean time of one work.
+	pace   time.Duration
+	closed bool
+	gone   bool
+	// fullUntil holds attempts to connect back.
 	fullUntil time.Time
-	downUntil time.Time
-	gone      bool
+	// down is set from a failure to connect until an attempt in the background succeeds.
+	down bool
 	// lastOK and failingSince tell how the server has answered lately.
 	lastOK       time.Time
 	failingSince time.Time
 	// laggingUntil marks a replica that lacked a needed position.
 	laggingUntil time.Time
 	busyUntil    time.Time
-	running      int
-	// remote is how busy the server was at its home, as of the last answer from there.
+	// remote is how busy the server was at its home, as of the last answer from there, and sent how much work is on its way there.
 	remote   int
 	remoteAt time.Time
 	sent     int
 }
 
-// waiter waits for a connection or for the room to open one.
+// waiter waits for its turn.
 type waiter struct {
 	workspace inventory.WorkspaceName
+	values    map[string]string
 	priority  int
-	// given receives a link, or nil as the right to open one.
-	given chan *link
+	turn      chan turn
 }
 
-func newPool(server fleet.Server, connector database.Connector, now func() time.Time, limit int) *pool {
-	return &pool{server: server, connector: connector, now: now, limit: limit}
+// turn is the right to run work: on a connection, or on one that must be opened first.
+type turn struct {
+	link *link
+	err  error
 }
 
-// acquire returns a connection for a workspace, within a timeout.
-func (p *pool) acquire(workspace inventory.WorkspaceName, values map[string]string, priority int, timeout time.Duration) (*link, error) {
-	end := p.now().Add(timeout)
+func newPool(server fleet.Server, connector database.Connector, now func() time.Time, limit, width int) *pool {
+	return &pool{server: server, connector: connector, now: now, limit: limit, width: width, pace: firstPace}
+}
+
+// acquire returns a connection for a workspace when it is the work's turn; patience bounds the wait for that.
+func (p *pool) acquire(work forward.Work) (*link, error) {
+	end := p.now().Add(work.Timeout)
 	for {
-		l, wait, err := p.take(workspace, values, priority)
-		if err != nil {
-			return nil, err
-		}
-		if wait != nil {
-			if l, err = p.await(wait, end.Sub(p.now())); err != nil {
-				return nil, err
-			}
+		t, w := p.enter(work)
+		if w != nil {
+			t = p.await(w, min(work.Patience, end.Sub(p.now())))
 		}
-		if l == nil && p.abandoned() {
-			return nil, errGone
+		if t.err != nil {
+			return nil, t.err
 		}
+		l := t.link
 		if l == nil {
-			return p.connect(workspace, min(end.Sub(p.now()), connectTimeout))
+			var err error
+			if l, err = p.connect(work.Workspace, min(end.Sub(p.now()), connectTimeout)); err != nil {
+				return nil, err
+			}
 		}
 		if l.backend.Alive() {
+			l.began = p.now()
 			return l, nil
 		}
 		p.discard(l)
@@ -114,43 +134,70 @@
 	}
 }
 
-// take returns an idle connection, nothing at all as the right to open one, or a waiter.
-func (p *pool) take(workspace inventory.WorkspaceName, values map[string]string, priority int) (*link, *waiter, error) {
+// enter returns a turn, or a place in line.
+func (p *pool) enter(work forward.Work) (turn, *waiter) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := p.now()
-	if l := p.pick(workspace, values); l != nil {
-		p.running++
-		return l, nil, nil
+	switch {
+	case p.gone || p.closed:
+		return turn{err: errGone}, nil
+	case p.down && len(p.idle) == 0:
+		return turn{err: errDown}, nil
 	}
-	if p.gone || p.closed {
-		return nil, nil, errGone
+	at := len(p.waiting)
+	for at > 0 && p.waiting[at-1].priority > work.Priority {
+		at--
 	}
-	if now.Before(p.downUntil) {
-		return nil, nil, errDown
+	if at == 0 && p.running < p.width {
+		if l, ok := p.reserve(work.Workspace, work.Values); ok {
+			return turn{link: l}, nil
+		}
 	}
-	if p.open < p.limit && !now.Before(p.fullUntil) {
-		p.open++
-		p.running++
-		return nil, nil, nil
+	if ahead := time.Duration(at+1) * p.pace / time.Duration(p.width); ahead > work.Patience {
+		return turn{err: errTooLong}, nil
 	}
-	if len(p.idle) > 0 {
-		oldest := p.idle[0]
-		p.idle = p.idle[1:]
-		oldest.backend.Close()
+	w := &waiter{workspace: work.Workspace, values: work.Values, priority: work.Priority, turn: make(chan turn, 1)}
+	p.waiting = slices.Insert(p.waiting, at, w)
+	return turn{}, w
+}
+
+// reserve counts one more work and takes an idle connection for it, or the room to open one; false means that there is neither.
+func (p *pool) reserve(workspace inventory.WorkspaceName, values map[string]string) (*link, bool) {
+	if l := p.pick(workspace, values); l != nil {
 		p.running++
-		return nil, nil, nil
+		return l, true
 	}
-	if p.open == 0 {
-		return nil, nil, errNoConnection
+	switch {
+	case p.open < p.limit && !p.now().Before(p.fullUntil):
+		p.open++
+	case len(p.idle) > 0:
+		p.idle[0].backend.Close()
+		p.idle = p.idle[1:]
+	case p.open == 0:
+		p.open++
+	default:
+		return nil, false
 	}
-	w := &waiter{workspace: workspace, priority: priority, given: make(chan *link, 1)}
-	at := len(p.waiting)
-	for at > 0 && p.waiting[at-1].priority > priority {
-		at--
+	p.running++
+	return nil, true
+}
+
+// next gives turns to those in line.
+func (p *pool) next() {
+	for len(p.waiting) > 0 && p.running < p.width {
+		w := p.waiting[0]
+		if p.gone || p.closed {
+			w.turn <- turn{err: errGone}
+			p.waiting = p.waiting[1:]
+			continue
+		}
+		l, ok := p.reserve(w.workspace, w.values)
+		if !ok {
+			return
+		}
+		p.waiting = p.waiting[1:]
+		w.turn <- turn{link: l}
 	}
-	p.waiting = slices.Insert(p.waiting, at, w)
-	return nil, w, nil
 }
 
 // pick takes the idle connection of a workspace that needs the least to be made fit, the last used one first.
@@ -177,28 +224,21 @@
 	return l
 }
 
-func (p *pool) await(w *waiter, timeout time.Duration) (*link, error) {
-	clock := time.NewTimer(timeout)
+func (p *pool) await(w *waiter, patience time.Duration) turn {
+	clock := time.NewTimer(patience)
 	defer clock.Stop()
 	select {
-	case l := <-w.given:
-		return l, nil
+	case t := <-w.turn:
+		return t
 	case <-clock.C:
 	}
 	p.mu.Lock()
-	for i, other := range p.waiting {
-		if other == w {
-			p.waiting = append(p.waiting[:i], p.waiting[i+1:]...)
-			break
-		}
-	}
-	p.mu.Unlock()
-	select {
-	case l := <-w.given:
-		return l, nil
-	default:
-		return nil, errNoConnection
+	defer p.mu.Unlock()
+	if at := slices.Index(p.waiting, w); at >= 0 {
+		p.waiting = slices.Delete(p.waiting, at, at+1)
+		return turn{err: errNoConnection}
 	}
+	return <-w.turn
 }
 
 // connect opens a connection whose room was taken before.
@@ -215,8 +255,8 @@
 	p.giveUp()
 	if err != nil {
 		p.noteFailure(now)
-		if timeout >= connectTimeout/2 {
-			p.downUntil = now.Add(downPause)
+		if timeout >= connectTimeout/2 || broke(err) != forward.TimedOut {
+			p.goDown(workspace)
 		}
 		return nil, errDown
 	}
@@ -230,8 +270,48 @@
 	}
 }
 
+// goDown refuses work until an attempt in the background has reached the server.
+func (p *pool) goDown(workspace inventory.WorkspaceName) {
+	for _, w := range p.waiting {
+		w.turn <- turn{err: errDown}
+	}
+	p.waiting = nil
+	if p.down {
+		return
+	}
+	p.down = true
+	go p.comeBack(workspace)
+}
+
+// comeBack tries to reach a server that is down until it answers or is known to be gone.
+func (p *pool) comeBack(workspace inventory.WorkspaceName) {
+	for {
+		time.Sleep(downPause)
+		p.mu.Lock()
+		if p.closed || p.gone {
+			p.mu.Unlock()
+			return
+		}
+		p.open++
+		p.running++
+		p.mu.Unlock()
+		l, err := p.connect(workspace, connectTimeout)
+		if errors.Is(err, errDown) {
+			continue
+		}
+		p.mu.Lock()
+		p.down = false
+		p.mu.Unlock()
+		if err == nil {
+			l.began = p.now()
+			l.release()
+		}
+		return
+	}
+}
+
 func (p *pool) noteSuccess(now time.Time) {
-	p.lastOK, p.failingSince, p.downUntil = now, time.Time{}, time.Time{}
+	p.lastOK, p.failingSince = now, time.Time{}
 }
 
 func (p *pool) noteFailure(now time.Time) {
@@ -240,36 +320,11 @@
 	}
 }
 
-// abandoned gives the room for a connection back if the pool was closed meanwhile.
-func (p *pool) abandoned() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.closed {
-		p.giveUp()
-	}
-	return p.closed
-}
-
-// giveUp returns the room of a connection and lets the next one in line open another.
+// giveUp returns the room of a connection that is gone.
 func (p *pool) giveUp() {
 	p.running--
-	if len(p.waiting) > 0 && !p.gone && !p.closed {
-		w := p.waiting[0]
-		p.waiting = p.waiting[1:]
-		p.running++
-		w.given <- nil
-		return
-	}
 	p.open--
-	if p.open == 0 {
-		// Nobody is left to hand a connection on, so those in line try for themselves.
-		for _, w := range p.waiting {
-			p.open++
-			p.running++
-			w.given <- nil
-		}
-		p.waiting = nil
-	}
+	p.next()
 }
 
 // discard closes a connection that is of no more use.
@@ -289,27 +344,41 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := p.now()
-	l.used = now
+	p.finish(l)
 	if p.closed || p.open > p.limit {
 		l.backend.Close()
 		p.giveUp()
 		return
 	}
-	for i, w := range p.waiting {
-		if w.workspace == l.workspace {
-			p.waiting = append(p.waiting[:i], p.waiting[i+1:]...)
-			w.given <- l
-			return
-		}
-	}
-	if len(p.waiting) > 0 {
-		l.backend.Close()
-		p.giveUp()
-		return
-	}
 	p.running--
 	p.idle = append(p.idle, l)
+	p.next()
+}
+
+// finish notes how long the work on a connection took.
+func (p *pool) finish(l *link) {
+	now := p.now()
+	l.used = now
+	p.pace += time.Duration(paceWeight * float64(now.Sub(l.began)-p.pace))
+}
+
+// rest lets other work run while a transaction keeps the connection without using it.
+func (l *link) rest() {
+	p := l.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.finish(l)
+	p.running--
+	p.next()
+}
+
+// resume counts the work of a transaction that goes on; it has no turn to wait for.
+func (l *link) resume() {
+	p := l.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l.began = p.now()
+	p.running++
 }
 
 // fail marks a connection on which a statement got no answer and drops the idle ones, which may be silent too.
@@ -349,17 +418,15 @@
 	}
 	p.idle = nil
 	for _, w := range p.waiting {
-		p.open++
-		p.running++
-		w.given <- nil
+		w.turn <- turn{err: errGone}
 	}
 	p.waiting = nil
 }
 
-func (p *pool) setLimit(limit int) {
+func (p *pool) setLimits(limit, width int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.limit = limit
+	p.limit, p.width = limit, width
 }
 
 func (p *pool) setServer(s fleet.Server) {
@@ -376,7 +443,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
-	usable = !p.gone && !p.closed && !p.server.Leaving && !now.Before(p.downUntil)
+	usable = !p.gone && !p.closed && !p.server.Leaving && !p.down
 	busyness = p.running + len(p.waiting) + p.sent
 	if now.Sub(p.remoteAt) < remoteFresh {
 		busyness = max(busyness, p.remote)
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -151,8 +151,8 @@
 		}
 	}
 	for name, c := range next {
-		limit := func(s fleet.Server) int { return p.limitFor(currentPolicy.Services[name], s) }
-		c.update(byService[name], p.roster.Partial, limit, p.cfg.Connector, p.cfg.Now)
+		limits := func(s fleet.Server) (limit, width int) { return p.limitsFor(currentPolicy.Services[name], s) }
+		c.update(byService[name], p.roster.Partial, limits, p.cfg.Connector, p.cfg.Now)
 	}
 	p.clusters.Store(&next)
 }
@@ -194,6 +194,7 @@
 func (p *Proxy) upkeep() {
 	if current := p.policy.Load(); current != nil && current.TransactionIdle > 0 {
 		for _, l := range p.held.expire(p.cfg.Now(), current.TransactionIdle+heldGrace) {
+			l.resume()
 			l.broken = true
 			l.release()
 		}
--- a/entry/proxy/request.go
+++ b/entry/proxy/request.go
@@ -67,8 +67,10 @@
 		changed := r.cluster.watch()
 		now := r.session.proxy.cfg.Now()
 		p := r.cluster.leader(now)
+		overloaded := false
 		if p != nil {
 			answer, final := try(p)
+			overloaded = answer.Outcome == statement.Busy && answer.Detail == errTooLong.Error()
 			if final {
 				return answer
 			}
@@ -82,7 +84,7 @@
 				}
 			}
 		}
-		if r.left() <= minOffer {
+		if r.left() <= minOffer || overloaded && r.patience() <= minPatience {
 			return last
 		}
 		pause(changed, min(leaderWait, r.left()))
@@ -102,10 +104,22 @@
 func (r *request) work(timeout time.Duration, statements ...statement.Statement) forward.Work {
 	return forward.Work{
 		Workspace: r.session.workspace, Values: r.session.values, Shape: r.what.shape, Statements: statements,
-		Timeout: max(timeout, minOffer), Priority: r.route.Priority,
+		Timeout: max(timeout, minOffer), Priority: r.route.Priority, Patience: r.patience(),
 	}
 }
 
+// patience is how long the statement may wait for its turn: as long as it can still be of use in time.
+func (r *request) patience() time.Duration {
+	waited := r.session.proxy.cfg.Now().Sub(r.began)
+	return max(minPatience, min(r.left(), time.Duration(patienceShare*float64(r.route.Target))-waited))
+}
+
+const (
+	// patienceShare is the part of the latency target that may pass in line.
+	patienceShare = 0.6
+	minPatience   = 20 * time.Millisecond
+)
+
 // offer has work done at a database and counts it unless nothing was sent.
 func (r *request) offer(p *pool, work forward.Work) (forward.Result, *home) {
 	result, at := r.session.proxy.run(p, work)
@@ -193,9 +207,12 @@
 	if answer.Outcome == statement.Busy {
 		time.Sleep(min(busyPause, max(0, r.left()-minOffer)))
 	}
-	return answer, r.left() <= minOffer || r.offers > 2*max(1, r.route.Attempts)
+	return answer, r.left() <= minOffer || r.offers > maxOffers
 }
 
+// maxOffers bounds how often a read is offered to databases that fail it.
+const maxOffers = 6
+
 // readStale runs a read on the best server that has the needed position.
 func (r *request) readStale() statement.Answer {
 	now := r.session.proxy.cfg.Now()
@@ -205,12 +222,15 @@
 	}
 	r.least = least
 	last := statement.Refuse(statement.Busy, "no database can be reached", statement.Idle)
-	for r.left() > minOffer && r.offers <= 2*max(1, r.route.Attempts) {
+	for r.left() > minOffer && r.offers <= maxOffers {
 		p := r.cluster.reader(r.session.proxy.near, r.tried)
 		if p == nil {
 			if len(r.tried) == 0 {
 				return r.readNewest()
 			}
+			if r.patience() <= minPatience {
+				return last
+			}
 			r.tried = nil
 			time.Sleep(min(busyPause, r.left()))
 			continue
--- a/lentilwind/forward/forward.go
+++ b/lentilwind/forward/forward.go
@@ -42,6 +42,8 @@
 	Timeout time.Duration `cbor:"12,keyasint"`
 	// Priority orders work that waits for a connection; 0 goes first.
 	Priority int `cbor:"13,keyasint,omitempty"`
+	// Patience bounds the wait for a turn; work that would wait longer is refused at once.
+	Patience time.Duration `cbor:"14,keyasint"`
 }
 
 // Failure tells why work got no answer from the database.
