Slow reads go to a second server; silent peers and dead leaders are noticed sooner

Cause: calls to frozen or cut-off processes took the whole time of a request, and quota refused all for half a second after the loss of a control leader.

--- a/control/coordinator/coordinator.go
+++ b/control/coordinator/coordinator.go
@@ -85,8 +85,8 @@
 	snapshotBytes   = 512 << 10
 	keptEntries     = 16
 	// heartbeat and election allow for one lost packet, which costs about 200 ms, and for a sync of a slow disk.
-	heartbeat = 60 * time.Millisecond
-	election  = 350 * time.Millisecond
+	heartbeat = 50 * time.Millisecond
+	election  = 260 * time.Millisecond
 )
 
 // Coordinator is one control process.
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -14,6 +14,7 @@
 	"lentilwind.dev/lentilwind/group"
 	"lentilwind.dev/lentilwind/inventory"
 	"lentilwind.dev/lentilwind/policy"
+	"lentilwind.dev/lentilwind/queue"
 	"lentilwind.dev/lentilwind/quota"
 )
 
@@ -58,11 +59,14 @@
 	watchers map[chan struct{}]struct{}
 
 	counters counters
+	// hedges bounds the reads that are offered to a second server.
+	hedges *queue.RetryBudget
 }
 
 // New returns a proxy without a policy; it serves once SetPolicy, SetRoster and ExtendLease were called.
 func New(cfg Config) *Proxy {
 	p := &Proxy{cfg: cfg, drained: make(chan struct{}), sessions: make(map[*session]struct{}), watchers: make(map[chan struct{}]struct{})}
+	p.hedges = queue.NewRetryBudget(hedgeBudget, savedHedges)
 	p.clusters.Store(&map[group.Service]*cluster{})
 	p.leaseUntil.Store(&time.Time{})
 	p.homes.Store(&homeTable{})
--- a/entry/proxy/request.go
+++ b/entry/proxy/request.go
@@ -213,7 +213,7 @@
 // maxOffers bounds how often a read is offered to databases that fail it.
 const maxOffers = 6
 
-// readStale runs a read on the best server that has the needed position.
+// readStale runs a read on the best server that has the needed position, and on a second one if the first is slow to answer.
 func (r *request) readStale() statement.Answer {
 	now := r.session.proxy.cfg.Now()
 	least, known := r.cluster.least(now, r.route.MaxStaleness-clockMargin, r.floorOfSession())
@@ -221,10 +221,14 @@
 		return r.readNewest()
 	}
 	r.least = least
+	r.session.proxy.hedges.Request()
 	last := statement.Refuse(statement.Busy, "no database can be reached", statement.Idle)
+	answers := make(chan offered, maxOffers+1)
+	running := 0
+	hedge := time.NewTimer(r.hedgeDelay())
+	defer hedge.Stop()
 	for r.left() > minOffer && r.offers <= maxOffers {
-		p := r.cluster.reader(r.session.proxy.near, r.tried)
-		if p == nil {
+		if running == 0 && !r.launch(answers) {
 			if len(r.tried) == 0 {
 				return r.readNewest()
 			}
@@ -235,35 +239,82 @@
 			time.Sleep(min(busyPause, r.left()))
 			continue
 		}
-		answer, final := r.readAt(p)
-		if final {
-			return answer
+		running = max(running, 1)
+		select {
+		case o := <-answers:
+			running--
+			answer, final := r.judgeOffer(o)
+			if final {
+				return answer
+			}
+			last = answer
+		case <-hedge.C:
+			if r.session.proxy.hedges.Retry() && r.launch(answers) {
+				running++
+			}
+		case <-time.After(r.left()):
 		}
-		last = answer
-		r.tried = append(r.tried, p)
 	}
 	return last
 }
 
-// readAt runs a read on one server with a floor.
-func (r *request) readAt(p *pool) (statement.Answer, bool) {
+// hedgeDelay is how long a read may go unanswered before a second server is asked.
+func (r *request) hedgeDelay() time.Duration { return max(minHedge, r.route.Target/hedgeShare) }
+
+const (
+	// hedgeShare is the part of the latency target, as its inverse, that leaves enough time for a second server.
+	hedgeShare = 3
+	minHedge   = 50 * time.Millisecond
+	// hedgeBudget is the most that second offers add to the reads, and savedHedges how many may come at once when an entry or a
+	// data centre falls silent.
+	hedgeBudget = 0.1
+	savedHedges = 60
+)
+
+// offered is the result of one offer of a read.
+type offered struct {
+	pool   *pool
+	result forward.Result
+}
+
+// launch offers the read to the best server that was not tried; false means that there is none.
+func (r *request) launch(answers chan<- offered) bool {
+	p := r.cluster.reader(r.session.proxy.near, r.tried)
+	if p == nil {
+		return false
+	}
+	r.tried = append(r.tried, p)
 	st := r.what.Statement
 	st.After = r.least
-	result, _ := r.offer(p, r.work(r.left(), st))
-	if result.Failure != "" {
-		answer, _ := unanswered(result)
+	work := r.work(r.left(), st)
+	carrier := r.session.proxy
+	go func() {
+		result, _ := carrier.run(p, work)
+		answers <- offered{p, result}
+	}()
+	return true
+}
+
+// judgeOffer tells whether the result of an offer is final.
+func (r *request) judgeOffer(o offered) (statement.Answer, bool) {
+	if o.result.Failure != forward.NotSent {
+		r.offers++
+	}
+	if o.result.Failure != "" {
+		answer, _ := unanswered(o.result)
 		return answer, false
 	}
 	now := r.session.proxy.cfg.Now()
-	switch result.Answers[0].Outcome {
+	answer := o.result.Answers[0]
+	switch answer.Outcome {
 	case statement.Lagging:
-		p.noteLagging(now.Add(laggingFor))
-		return result.Answers[0], false
+		o.pool.noteLagging(now.Add(laggingFor))
+		return answer, false
 	case statement.Busy:
-		p.noteBusy(now.Add(busyFor))
-		return result.Answers[0], false
+		o.pool.noteBusy(now.Add(busyFor))
+		return answer, false
 	}
-	return r.judgeRead(result.Answers[0])
+	return r.judgeRead(answer)
 }
 
 func (r *request) floorOfSession() group.Floor {
--- a/entry/quota/quota.go
+++ b/entry/quota/quota.go
@@ -136,6 +136,9 @@
 			return nil
 		}
 	case <-ctx.Done():
+		if q.isSilent() && <-result {
+			return nil
+		}
 		q.mu.Lock()
 		q.entry.Cancel(a, ticket)
 		q.mu.Unlock()
@@ -143,6 +146,13 @@
 	return &Error{Workspace: workspace}
 }
 
+// isSilent tells whether the leader may be gone; whoever waits is settled soon then, out of the floor share or as refused.
+func (q *Quota) isSilent() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.entry.Silent(time.Now())
+}
+
 // Run draws from the leader until the context ends.
 func (q *Quota) Run(ctx context.Context) error {
 	changed, stop := q.cfg.Directory.Watch()
--- a/instance/peer/client.go
+++ b/instance/peer/client.go
@@ -20,6 +20,10 @@
 	dialTimeout = 600 * time.Millisecond
 	// writeTimeout bounds a write to a process that does not read.
 	writeTimeout = 2 * time.Second
+	// pingAfter is the silence of a waiting call after which the other side is asked for a sign of life, and silentAfter the one
+	// after which the connection is given up: long enough for a packet that is lost twice.
+	pingAfter   = 200 * time.Millisecond
+	silentAfter = 700 * time.Millisecond
 	// userTimeout is how long sent bytes may stay unacknowledged before the kernel drops the connection.
 	userTimeout = 1500 * time.Millisecond
 )
@@ -175,24 +179,61 @@
 	if err := l.send(kind, sender, id, request); err != nil {
 		return protocol.Frame{}, err
 	}
-	select {
-	case frame := <-waiting:
-		return frame, nil
-	case <-l.done:
-		return protocol.Frame{}, fmt.Errorf("%w: %s: the connection ended", ErrUnavailable, l.address)
-	case <-ctx.Done():
-		l.forget(id, sent)
-		return protocol.Frame{}, fmt.Errorf("%w: %s: %w", ErrUnavailable, l.address, ctx.Err())
+	return l.await(ctx, id, kind, sender, sent, waiting)
+}
+
+// kindPing asks for any answer at all.
+const kindPing protocol.Kind = "ping"
+
+// await waits for the reply; a connection on which nothing comes at all is given up.
+func (l *conn) await(
+	ctx context.Context, id protocol.RequestID, kind protocol.Kind, sender inventory.InstanceName, sent time.Time, waiting <-chan protocol.Frame,
+) (protocol.Frame, error) {
+	look := time.NewTimer(pingAfter)
+	defer look.Stop()
+	pinged := false
+	for {
+		select {
+		case frame := <-waiting:
+			return frame, nil
+		case <-l.done:
+			return protocol.Frame{}, fmt.Errorf("%w: %s: the connection ended during %s", ErrUnavailable, l.address, kind)
+		case <-ctx.Done():
+			l.forget(id, sent)
+			return protocol.Frame{}, fmt.Errorf("%w: %s: %s: %w", ErrUnavailable, l.address, kind, ctx.Err())
+		case <-look.C:
+			if pinged && l.silentSince(sent) {
+				l.close()
+				continue
+			}
+			if err := l.send(kindPing, sender, l.nextID(), struct{}{}); err != nil {
+				continue
+			}
+			sent, pinged = time.Now(), true
+			look.Reset(silentAfter - pingAfter)
+		}
 	}
 }
 
+func (l *conn) nextID() protocol.RequestID {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.last++
+	return l.last
+}
+
+func (l *conn) silentSince(at time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.heard.Before(at)
+}
+
 // forget drops a call that got no reply; a connection that was silent all the while is replaced.
 func (l *conn) forget(id protocol.RequestID, sent time.Time) {
 	l.mu.Lock()
 	delete(l.pending, id)
-	silent := l.heard.Before(sent)
 	l.mu.Unlock()
-	if silent {
+	if time.Since(sent) > silentAfter && l.silentSince(sent) {
 		l.close()
 	}
 }
--- a/lentilwind/quota/entry.go
+++ b/lentilwind/quota/entry.go
@@ -118,6 +118,10 @@
 // CutOff tells whether the entry has been without contact for so long that it uses its floor share.
 func (e *Entry[V]) CutOff(now time.Time) bool { return now.Sub(e.lastContact) > e.settings.CutOffAfter }
 
+// Silent tells whether the leader has not answered for so long that it may be gone: waiting requests may soon be admitted out of
+// the floor share.
+func (e *Entry[V]) Silent(now time.Time) bool { return now.Sub(e.lastContact) > e.settings.CutOffAfter/3 }
+
 // takeFloor takes a token out of the floor share, which begins empty when the entry becomes cut off.
 //
 // Its rate is less than the share by the most that the entry's clock may run fast.
--- a/lentilwind/quota/settings.go
+++ b/lentilwind/quota/settings.go
@@ -29,7 +29,7 @@
 // the quota.
 func QuickSettings() Settings {
 	s := DefaultSettings()
-	s.CutOffAfter = 500 * time.Millisecond
+	s.CutOffAfter = 400 * time.Millisecond
 	s.FloorFraction = 1
 	return s
 }
