--- a/control/coordinator/coordinator.go
+++ b/control/coordinator/coordinator.go
@@ -123,6 +123,8 @@
 	until      time.Time
 	membership journal.Membership
 	fresh      bool
+	// answering is how many voters a leader has heard lately.
+	answering int
 }
 
 // errReplaced means that the members have gone on without this one, so that its folder must be emptied.
--- a/control/coordinator/loop.go
+++ b/control/coordinator/loop.go
@@ -199,6 +199,7 @@
 		self: c.store.Identity().Member, term: c.machine.Term(), leader: c.machine.Leader(), membership: c.machine.Membership(),
 		fresh: c.machine.Last() == 0 && len(c.machine.Membership().Members) == 0,
 	}
+	next.answering = c.answering(now, next)
 	if member, found := next.membership.Find(next.leader); found {
 		next.address = member.Address
 	} else {
@@ -213,6 +214,23 @@
 	}
 }
 
+// answeringWithin is how lately a member must have answered its leader to count as being there.
+const answeringWithin = time.Second
+
+// answering counts the voters that a leader has heard lately, itself included.
+func (c *Coordinator) answering(now time.Time, v *view) int {
+	if v.leader != v.self {
+		return 0
+	}
+	n := 1
+	for _, p := range c.machine.Progress() {
+		if !p.Member.Learner && now.Sub(p.Heard) < answeringWithin {
+			n++
+		}
+	}
+	return n
+}
+
 // leading tells whether this process is the leader now and no other one can be.
 func (c *Coordinator) leading() (journal.Term, bool) {
 	v := c.view.Load()
--- a/control/coordinator/metrics.go
+++ b/control/coordinator/metrics.go
@@ -11,6 +11,8 @@
 	_, leads := c.leading()
 	fmt.Fprintf(w, "lentilwind_journal_term %d\n", v.term)
 	fmt.Fprintf(w, "lentilwind_journal_members %d\n", len(v.membership.Members))
+	fmt.Fprintf(w, "lentilwind_journal_voters %d\n", len(v.membership.Voters()))
+	fmt.Fprintf(w, "lentilwind_journal_answering %d\n", v.answering)
 	fmt.Fprintf(w, "lentilwind_policy_version %d\n", c.state.Load().Document.Version)
 	fmt.Fprintf(w, "lentilwind_leads %d\n", number(leads))
 	if !c.leader.hold() {
--- a/lentilwind/quota/entry.go
+++ b/lentilwind/quota/entry.go
@@ -120,7 +120,9 @@
 
 // Silent tells whether the leader has not answered for so long that it may be gone: waiting requests may soon be admitted out of
 // the floor share.
-func (e *Entry[V]) Silent(now time.Time) bool { return now.Sub(e.lastContact) > e.settings.CutOffAfter/3 }
+func (e *Entry[V]) Silent(now time.Time) bool {
+	return now.Sub(e.lastContact) > e.settings.CutOffAfter/3
+}
 
 // takeFloor takes a token out of the floor share, which begins empty when the entry becomes cut off.
 //
