Control processes without a vote answer for the leader; entries are ready once quota is usable

Cause 1: found by the test with real processes: a process that is no member never learned who leads and answered 503 to every call. Cause 2: an entry said that it was ready before the leader had set its floor share free, and refused the first operations.

--- a/control/coordinator/coordinator.go
+++ b/control/coordinator/coordinator.go
@@ -112,6 +112,8 @@
 	changed notifier
 	leader  *leadership
 	members membership
+	// known is the leader that has answered the last registration.
+	known atomic.Pointer[string]
 }
 
 // view is what others may read of the machine.
--- a/control/coordinator/leadership.go
+++ b/control/coordinator/leadership.go
@@ -278,13 +278,13 @@
 
 // relay passes an entry's renewal on to the leader that this process can reach.
 func (l *leadership) relay(ctx context.Context, request fleet.RenewRequest) (fleet.RenewReply, error) {
-	v := l.c.view.Load()
-	if !request.Relay || v.address == "" || v.leader == v.self {
+	address := l.c.leaderAddress()
+	if !request.Relay || address == "" {
 		return fleet.RenewReply{}, l.c.notLeader()
 	}
 	request.Relay = false
 	var reply fleet.RenewReply
-	err := l.c.cfg.Client.Call(ctx, v.address, fleet.KindRenew, request, &reply)
+	err := l.c.cfg.Client.Call(ctx, address, fleet.KindRenew, request, &reply)
 	return reply, err
 }
 
--- a/control/coordinator/members.go
+++ b/control/coordinator/members.go
@@ -90,6 +90,7 @@
 		err := c.cfg.Client.Call(calling, address, fleet.KindRegister, own, &reply)
 		done()
 		if err == nil {
+			c.known.Store(&address)
 			return reply, true
 		}
 	}
@@ -120,6 +121,21 @@
 	return all
 }
 
+// leaderAddress returns where the leader was last known; a process that is no member knows it from its registration.
+func (c *Coordinator) leaderAddress() string {
+	v := c.view.Load()
+	if v.leader == v.self && v.leader != 0 {
+		return ""
+	}
+	if v.address != "" {
+		return v.address
+	}
+	if known := c.known.Load(); known != nil {
+		return *known
+	}
+	return ""
+}
+
 // onRegister takes a registration in; it is answered by the leader only.
 func (c *Coordinator) onRegister(_ context.Context, _ inventory.InstanceName, r fleet.Registration) (fleet.RegistrationReply, error) {
 	if _, leads := c.leading(); !leads {
@@ -135,7 +151,7 @@
 }
 
 func (c *Coordinator) notLeader() *protocol.Refusal {
-	return &protocol.Refusal{Code: protocol.CodeNotLeader, Message: "another control process leads", Leader: c.view.Load().address}
+	return &protocol.Refusal{Code: protocol.CodeNotLeader, Message: "another control process leads", Leader: c.leaderAddress()}
 }
 
 // reconcile brings the members of the journal towards the wanted number, one change at a time.
--- a/control/coordinator/service.go
+++ b/control/coordinator/service.go
@@ -41,13 +41,13 @@
 
 // forward calls the leader that this process knows.
 func (c *Coordinator) forward(ctx context.Context, kind protocol.Kind, request, reply any) error {
-	v := c.view.Load()
-	if v.address == "" || v.leader == v.self {
+	address := c.leaderAddress()
+	if address == "" {
 		return ErrUnavailable
 	}
 	ctx, cancel := context.WithTimeout(ctx, forwardTime)
 	defer cancel()
-	if err := c.cfg.Client.Call(ctx, v.address, kind, request, reply); err != nil {
+	if err := c.cfg.Client.Call(ctx, address, kind, request, reply); err != nil {
 		return fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
 	return nil
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -22,6 +22,8 @@
 type Admission interface {
 	// Acquire returns nil once an operation may run.
 	Acquire(ctx context.Context, workspace inventory.WorkspaceName) error
+	// Ready tells whether operations can be expected to be admitted.
+	Ready() bool
 }
 
 // Config is what a proxy needs.
@@ -173,7 +175,7 @@
 
 // Ready tells whether the balancer should send new sessions here.
 func (p *Proxy) Ready() bool {
-	return !p.draining.Load() && p.policy.Load() != nil && p.leased()
+	return !p.draining.Load() && p.policy.Load() != nil && p.leased() && p.cfg.Admission.Ready()
 }
 
 func (p *Proxy) cluster(name group.Service) *cluster { return (*p.clusters.Load())[name] }
--- a/entry/quota/quota.go
+++ b/entry/quota/quota.go
@@ -53,6 +53,8 @@
 
 	mu    sync.Mutex
 	entry *quota.Entry[chan bool]
+	// answered is when the leader answered first.
+	answered time.Time
 }
 
 type (
@@ -153,6 +155,13 @@
 	return q.entry.Silent(time.Now())
 }
 
+// Ready tells whether the leader has known this entry for long enough that its buckets are not empty for want of contact.
+func (q *Quota) Ready() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return !q.answered.IsZero() && time.Since(q.answered) >= q.cfg.Settings.CutOffAfter
+}
+
 // Run draws from the leader until the context ends.
 func (q *Quota) Run(ctx context.Context) error {
 	changed, stop := q.cfg.Directory.Watch()
@@ -214,6 +223,9 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if q.answered.IsZero() {
+		q.answered = time.Now()
+	}
 	q.settle(q.entry.Reply(round, &reply, time.Now()))
 	return true
 }
