--- /dev/null
+++ b/lentilwind/fleet/fleet_test.go
@@ -0,0 +1,45 @@
+package fleet_test
+
+import (
+	"bytes"
+	"testing"
+
+	"lentilwind.dev/lentilwind/fleet"
+)
+
+func TestSupersedes(t *testing.T) {
+	old := fleet.Server{Name: "a", Incarnation: 5, Sequence: 7}
+	for name, c := range map[string]struct {
+		next fleet.Server
+		want bool
+	}{
+		"the next announcement":           {fleet.Server{Incarnation: 5, Sequence: 8}, true},
+		"a repeated one":                  {fleet.Server{Incarnation: 5, Sequence: 7}, false},
+		"a late one of the same life":     {fleet.Server{Incarnation: 5, Sequence: 6}, false},
+		"the first of a new life":         {fleet.Server{Incarnation: 6, Sequence: 1}, true},
+		"a late one of a former life":     {fleet.Server{Incarnation: 4, Sequence: 99}, false},
+		"the leave of the same life":      {fleet.Server{Incarnation: 5, Gone: true}, true},
+		"the late leave of a former life": {fleet.Server{Incarnation: 4, Gone: true}, false},
+	} {
+		if got := c.next.Supersedes(old); got != c.want {
+			t.Errorf("%s: %v", name, got)
+		}
+	}
+}
+
+func TestDocumentKeepsTheBodyAsItWas(t *testing.T) {
+	body := bytes.Repeat([]byte(`{"a": 1}  `), 20000)
+	document, err := fleet.Pack(7, body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(document.Body) > len(body)/10 {
+		t.Errorf("%d bytes were packed into %d", len(body), len(document.Body))
+	}
+	if got, err := document.Unpack(); err != nil || !bytes.Equal(got, body) {
+		t.Errorf("the body has changed: %v", err)
+	}
+	if _, err := (fleet.Document{Version: 7, Body: []byte("no such thing")}).Unpack(); err == nil {
+		t.Error("a damaged document was unpacked")
+	}
+}
--- /dev/null
+++ b/lentilwind/policy/policy_test.go
@@ -0,0 +1,39 @@
+package policy_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"lentilwind.dev/lentilwind/policy"
+)
+
+func TestBuilderRefusesWhatCannotBeInForce(t *testing.T) {
+	route := policy.Route{Database: "orders", Service: "stock", Timeout: time.Second}
+	for want, build := range map[string]func(b *policy.Builder){
+		"unknown service": func(b *policy.Builder) { b.Route(route) },
+		"two routes": func(b *policy.Builder) {
+			b.Service(policy.Service{Name: "stock"})
+			b.Route(route)
+			b.Route(route)
+		},
+		"must be above 0": func(b *policy.Builder) {
+			b.Service(policy.Service{Name: "stock"})
+			b.Route(policy.Route{Database: "orders", Service: "stock"})
+		},
+		"share a key": func(b *policy.Builder) {
+			b.Workspace(policy.Workspace{Name: "a", Keys: []string{"k"}})
+			b.Workspace(policy.Workspace{Name: "b", Keys: []string{"k"}})
+		},
+		"stands twice": func(b *policy.Builder) {
+			b.Service(policy.Service{Name: "stock"})
+			b.Service(policy.Service{Name: "stock"})
+		},
+	} {
+		b := policy.NewBuilder(3)
+		build(b)
+		if _, err := b.Build(); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", want, err)
+		}
+	}
+}
