--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := lentilwind instance entry control lentilctl bench tests
+MODULES := lentilwind instance entry control platform lentilctl bench tests
 PROGRAMS := entry control lentilctl bench
 OUT := out
 
@@ -13,6 +13,7 @@
 	go build -o $(OUT)/bin/lentil-control ./control
 	go build -o $(OUT)/bin/lentilctl ./lentilctl
 	go build -o $(OUT)/bin/lentil-bench ./bench
+	go build -o $(OUT)/bin/lentil-platform ./platform
 
 test: build ## Run every test, with the race detector.
 	go test -race -timeout 20m $(MODULES:%=./%/...)
--- a/entry/proxy/pool.go
+++ b/entry/proxy/pool.go
@@ -439,7 +439,7 @@
 const remoteFresh = 300 * time.Millisecond
 
 // load tells how soon the server can be expected to serve, for choosing among replicas.
-func (p *pool) load() (busyness int, usable bool, lagging, busy bool) {
+func (p *pool) load() (busyness int, usable, lagging, busy bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -51,9 +51,6 @@
 	// leaseUntil is the end of the right to act on the policy.
 	leaseUntil atomic.Pointer[time.Time]
 	draining   atomic.Bool
-	// drained is closed when a planned stop begins.
-	drained chan struct{}
-	stop    sync.Once
 
 	mu       sync.Mutex
 	sessions map[*session]struct{}
@@ -67,7 +64,7 @@
 
 // New returns a proxy without a policy; it serves once SetPolicy, SetRoster and ExtendLease were called.
 func New(cfg Config) *Proxy {
-	p := &Proxy{cfg: cfg, drained: make(chan struct{}), sessions: make(map[*session]struct{}), watchers: make(map[chan struct{}]struct{})}
+	p := &Proxy{cfg: cfg, sessions: make(map[*session]struct{}), watchers: make(map[chan struct{}]struct{})}
 	p.hedges = queue.NewRetryBudget(hedgeBudget, savedHedges)
 	p.clusters.Store(&map[group.Service]*cluster{})
 	p.leaseUntil.Store(&time.Time{})
@@ -241,10 +238,7 @@
 
 // Drain begins a planned stop and waits until every session has ended or the context ends; open transactions may go on for a time.
 func (p *Proxy) Drain(ctx context.Context, transactions time.Duration) {
-	p.stop.Do(func() {
-		p.draining.Store(true)
-		close(p.drained)
-	})
+	p.draining.Store(true)
 	end := p.cfg.Now().Add(transactions)
 	ticker := time.NewTicker(drainPoll)
 	defer ticker.Stop()
--- a/entry/proxy/request.go
+++ b/entry/proxy/request.go
@@ -150,16 +150,17 @@
 			return unanswered(result)
 		}
 		answer := result.Answers[0]
-		switch {
-		case answer.Outcome == statement.Done:
+		switch answer.Outcome {
+		case statement.Done:
 			r.cluster.proven(p, answer.Position, sent)
 			r.session.remember(r.route.Service, answer.Position)
 			return answer, true
-		case answer.Outcome == statement.Busy:
+		case statement.Busy:
 			time.Sleep(min(busyPause, max(0, r.left()-minOffer)))
 			return answer, r.left() <= minOffer
+		default:
+			return answer, !answer.Outcome.NotRun()
 		}
-		return answer, !answer.Outcome.NotRun()
 	})
 }
 
@@ -252,6 +253,7 @@
 			if r.session.proxy.hedges.Retry() && r.launch(answers) {
 				running++
 			}
+			hedge.Reset(r.hedgeDelay())
 		case <-time.After(r.left()):
 		}
 	}
--- a/entry/proxy/session.go
+++ b/entry/proxy/session.go
@@ -108,15 +108,6 @@
 	s.tx = nil
 }
 
-// route returns the rule that holds now, nil for a database that no route names.
-func (s *session) route() *policy.Route {
-	current := s.proxy.Policy()
-	if current == nil {
-		return nil
-	}
-	return current.Routes[s.database]
-}
-
 // authorize decides whether the session may run requests now.
 func (s *session) authorize() (*policy.Route, statement.Answer, bool) {
 	current := s.proxy.Policy()
--- a/instance/peer/peer_test.go
+++ b/instance/peer/peer_test.go
@@ -22,7 +22,9 @@
 		t.Fatal(err)
 	}
 	server := peer.NewServer("server", logs.Discard())
-	server.Handle(kindEcho, peer.Typed(func(ctx context.Context, _ inventory.InstanceName, text string) (string, error) { return handle(ctx, text) }))
+	server.Handle(kindEcho, peer.Typed(func(ctx context.Context, _ inventory.InstanceName, text string) (string, error) {
+		return handle(ctx, text)
+	}))
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- server.Serve(ctx, listener) }()
@@ -91,14 +93,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
+	defer func() { _ = listener.Close() }()
 	go func() {
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			defer conn.Close()
+			defer func() { _ = conn.Close() }()
 		}
 	}()
 	began := time.Now()
