--- a/control/coordinator/probe.go
+++ b/control/coordinator/probe.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"errors"
 	"sync"
 	"time"
 
@@ -77,26 +78,41 @@
 	}
 }
 
-// Standing is how far a replica has come; Known is false if it did not answer.
-type Standing struct {
+// standing is how far a replica has come; Known is false if it did not answer.
+type standing struct {
 	Known    bool
 	Received group.Floor
 }
 
-// standing asks a database for its status on a connection of its own.
-func standing(connector database.Connector, target database.Target, timeout time.Duration) Standing {
-	backend, answer, err := connector.Connect(target, timeout)
-	if err != nil || answer.Outcome != statement.Done {
-		return Standing{}
+// standingOf asks a database for its status on a connection of its own.
+func standingOf(connector database.Connector, target database.Target, timeout time.Duration) standing {
+	answer, err := askOnce(connector, target, timeout, statement.Statement{ID: statement.Own, Verb: statement.Status})
+	switch {
+	case err != nil:
+		return standing{}
+	case answer.Report == nil:
+		// The end of the applied log has been received too.
+		return standing{Known: true, Received: answer.Position}
+	default:
+		return standing{Known: true, Received: answer.Report.Received}
 	}
-	defer backend.Close()
-	if backend.Send(statement.Statement{ID: statement.Own, Verb: statement.Status}) != nil {
-		return Standing{Known: true, Received: answer.Position}
+}
+
+// askOnce sends one statement on a connection of its own.
+func askOnce(connector database.Connector, target database.Target, timeout time.Duration, st statement.Statement) (statement.Answer, error) {
+	backend, opened, err := connector.Connect(target, timeout)
+	if err != nil {
+		return statement.Answer{}, err
+	}
+	if opened.Outcome != statement.Done {
+		return opened, errRefusedStart
 	}
-	status, err := backend.Receive(timeout)
-	if err != nil || status.Report == nil {
-		// The answer to the start has told how far the database has applied, which it has received too.
-		return Standing{Known: true, Received: answer.Position}
+	defer backend.Close()
+	if err := backend.Send(st); err != nil {
+		return statement.Answer{}, err
 	}
-	return Standing{Known: true, Received: status.Report.Received}
+	return backend.Receive(timeout)
 }
+
+// errRefusedStart means that a database did not take a connection.
+var errRefusedStart = errors.New("coordinator: the database refused the connection")
--- a/control/coordinator/promoter.go
+++ b/control/coordinator/promoter.go
@@ -9,6 +9,7 @@
 	"lentilwind.dev/lentilwind/database"
 	"lentilwind.dev/lentilwind/fleet"
 	"lentilwind.dev/lentilwind/group"
+	"lentilwind.dev/lentilwind/statement"
 	"lentilwind.dev/lentilwind/succession"
 )
 
@@ -140,7 +141,7 @@
 		w.promoting, w.ordered = false, p.c.cfg.Now()
 	}()
 	servers := p.roster.services()[name]
-	best, found := p.choose(servers, w, reason)
+	best, position, found := p.choose(servers, w, reason)
 	if !found {
 		return
 	}
@@ -154,11 +155,27 @@
 	if err != nil && !errors.Is(err, ErrUnanswered) {
 		return
 	}
+	if reason == succession.Leaving && err == nil {
+		p.demote(servers, replaced, position)
+	}
 	took := p.awaitTakeover(ctx, name, best, w)
 	p.c.cfg.Log.Info().Str("service", string(name)).Str("server", string(best.Name)).Bool("leads", took).
 		Int64("tookMs", p.c.cfg.Now().Sub(began).Milliseconds()).Msg("promotionEnded")
 }
 
+// demote stops the writes of a primary that leaves, so that its successor receives all of them before it takes over.
+func (p *promoter) demote(servers []known, replaced group.Server, position group.Floor) {
+	for _, s := range servers {
+		if s.Name != replaced {
+			continue
+		}
+		st := statement.Statement{ID: statement.Own, Verb: statement.Demote, Term: position.Term + 1}
+		answer, err := askOnce(p.c.cfg.Connector, target(s.Server), statusTime, st)
+		p.c.cfg.Log.Info().Err(err).Str("server", string(s.Name)).Str("outcome", string(answer.Outcome)).
+			Uint64("term", uint64(st.Term)).Msg("primaryDemoted")
+	}
+}
+
 // order journals the decision, so that its token is never used for another one, and then gives the order.
 func (p *promoter) order(ctx context.Context, name group.Service, best fleet.Server) error {
 	deciding, cancel := context.WithTimeout(ctx, proposeTime)
@@ -173,35 +190,58 @@
 	return p.c.cfg.Appointer.Appoint(ordering, Order{Service: name, Server: best.Name, Holder: a.Holder, Token: uint64(token)})
 }
 
+// candidate is a database that may take over.
+type candidate struct {
+	server fleet.Server
+	standing
+}
+
 // choose asks the replicas for their positions and returns the one that has received the most.
-func (p *promoter) choose(servers []known, w *watched, reason succession.Reason) (fleet.Server, bool) {
+//
+// Where commits wait for replicas, a commit may be on as few as that many of them; so no more may stay silent than leave one
+// that has it among those that answer.
+func (p *promoter) choose(servers []known, w *watched, reason succession.Reason) (fleet.Server, group.Floor, bool) {
 	p.mu.Lock()
 	primary := w.succession.Primary()
 	p.mu.Unlock()
-	type found struct {
-		server fleet.Server
-		report Standing
-	}
-	results := make(chan found, len(servers))
+	confirmed := p.confirmations(servers)
+	results := make(chan candidate, len(servers))
 	asked := 0
 	for _, s := range servers {
-		if s.Name == primary || s.Leaving {
+		if s.Name == primary || s.Leaving && confirmed == 0 {
 			continue
 		}
 		asked++
-		go func() { results <- found{s.Server, standing(p.c.cfg.Connector, target(s.Server), statusTime)} }()
+		go func() { results <- candidate{s.Server, standingOf(p.c.cfg.Connector, target(s.Server), statusTime)} }()
 	}
-	var best found
+	var best candidate
+	silent := 0
 	for range asked {
-		f := <-results
-		if f.report.Known && (!best.report.Known || best.report.Received.Less(f.report.Received)) {
-			best = f
+		found := <-results
+		if !found.Known {
+			silent++
+		} else if !best.Known || best.Received.Less(found.Received) {
+			best = found
 		}
 	}
-	if !best.report.Known {
-		p.c.cfg.Log.Warn().Str("reason", string(reason)).Int("asked", asked).Msg("noReplicaToPromote")
+	ok := best.Known && (confirmed == 0 || silent < confirmed)
+	if !ok {
+		p.c.cfg.Log.Warn().Str("reason", string(reason)).Int("asked", asked).Int("silent", silent).Int("confirmed", confirmed).
+			Msg("noReplicaToPromote")
+	}
+	return best.server, best.Received, ok
+}
+
+// confirmations returns how many replicas hold a commit of the service before it is acknowledged.
+func (p *promoter) confirmations(servers []known) int {
+	current := p.c.policy.Load()
+	if current == nil || len(servers) == 0 {
+		return 0
+	}
+	if service := current.Services[servers[0].Service]; service != nil {
+		return service.SyncReplicas
 	}
-	return best.server, best.report.Known
+	return 0
 }
 
 // awaitTakeover waits until the appointed database leads.
