Late reads of the newest state are offered twice; lost statements of transactions end early

Cause: with answers lost at the primary, reads and transactions there waited out the route's timeout and their callers' deadlines.

--- a/entry/proxy/request.go
+++ b/entry/proxy/request.go
@@ -172,11 +172,10 @@
 
 // readNewest runs a read on a server that has proven inside a transaction that it is the primary.
 func (r *request) readNewest() statement.Answer {
+	r.session.proxy.hedges.Request()
 	return r.onLeader(func(p *pool) (statement.Answer, bool) {
 		sent := r.session.proxy.cfg.Now()
-		work := r.work(r.left(), r.what.Statement)
-		work.Begin = &beginOwn
-		result, _ := r.offer(p, work)
+		result := r.offerTwice(p)
 		if refusal, ok := r.opened(p, result, sent); !ok {
 			return refusal, !refusal.Outcome.NotRun() || r.left() <= minOffer
 		}
@@ -188,6 +187,39 @@
 	})
 }
 
+// offerTwice offers a read of the newest state to the primary, and once more on another connection if the answer is late.
+func (r *request) offerTwice(p *pool) forward.Result {
+	results := make(chan forward.Result, 2)
+	work := r.work(r.left(), r.what.Statement)
+	work.Begin = &beginOwn
+	carrier := r.session.proxy
+	offer := func(work forward.Work) {
+		r.offers++
+		go func() {
+			result, _ := carrier.run(p, work)
+			results <- result
+		}()
+	}
+	offer(work)
+	hedge := time.NewTimer(r.hedgeDelay())
+	defer hedge.Stop()
+	select {
+	case result := <-results:
+		return result
+	case <-hedge.C:
+	}
+	if !carrier.hedges.Retry() {
+		return <-results
+	}
+	work.Timeout, work.Patience = max(r.left(), minOffer), r.patience()
+	offer(work)
+	first := <-results
+	if len(first.Answers) > 0 {
+		return first
+	}
+	return <-results
+}
+
 // opened looks whether a server has accepted the transaction that proves it to be the primary.
 func (r *request) opened(p *pool, result forward.Result, sent time.Time) (statement.Answer, bool) {
 	if result.Opened == nil {
--- a/entry/proxy/transaction.go
+++ b/entry/proxy/transaction.go
@@ -23,6 +23,18 @@
 	offers int
 }
 
+// lostAfter is the least time after which a statement inside a transaction counts as lost.
+const lostAfter = 250 * time.Millisecond
+
+// patience is how long a statement may go unanswered. Until the commit nothing is kept, so that a lost statement is given up
+// while its caller still has time to begin again; a commit gets all the time there is.
+func (tx *transaction) patience(commit bool) time.Duration {
+	if commit {
+		return tx.route.Timeout
+	}
+	return min(tx.route.Timeout, max(tx.route.Target, lostAfter))
+}
+
 // fail marks the transaction as failed.
 func (tx *transaction) fail(answer statement.Answer) statement.Answer {
 	tx.failed = true
@@ -92,7 +104,7 @@
 	}
 	result := s.proxy.continueWork(tx.at, forward.Work{
 		Workspace: s.workspace, Values: s.values, Shape: what.shape, Statements: []statement.Statement{what.Statement},
-		Held: tx.held, End: end, Timeout: tx.route.Timeout,
+		Held: tx.held, End: end, Timeout: tx.patience(end),
 	})
 	tx.held = result.Held
 	return result, statement.Answer{}, true
