A failing disk ends no control process

It now gives its promises up, opens the folder again every 500 ms and says so (dependencyLost, disk).

--- a/control/coordinator/coordinator.go
+++ b/control/coordinator/coordinator.go
@@ -103,6 +103,8 @@
 	couriers map[journal.MemberID]*courier
 	heard    map[journal.MemberID]string
 	group    *errgroup.Group
+	// diskFailed is true from a failure of the disk until a sync succeeds.
+	diskFailed bool
 	// emptied means that this process has lost what its folder held, so that it must not take part as a first member again.
 	emptied bool
 
@@ -129,6 +131,9 @@
 	answering int
 }
 
+// errDisk is wrapped by failures of the data folder.
+var errDisk = errors.New("coordinator: the disk failed")
+
 // errReplaced means that the members have gone on without this one, so that its folder must be emptied.
 var errReplaced = errors.New("coordinator: this member was replaced")
 
@@ -156,21 +161,42 @@
 	g.Go(func() error {
 		for {
 			err := c.takePart(ctx)
-			if !errors.Is(err, errReplaced) {
+			switch {
+			case errors.Is(err, errReplaced):
+				c.cfg.Log.Warn().Msg("memberReplaced")
+			case errors.Is(err, errDisk) && ctx.Err() == nil:
+				c.diskLost(ctx, err)
+			default:
 				return err
 			}
-			c.cfg.Log.Warn().Msg("memberReplaced")
 		}
 	})
 	return g.Wait()
 }
 
+// diskPause is the time between two attempts to use a disk that has failed.
+const diskPause = 500 * time.Millisecond
+
+// diskLost waits before the folder is opened again; until then this process promises nothing.
+func (c *Coordinator) diskLost(ctx context.Context, err error) {
+	if !c.diskFailed {
+		c.diskFailed = true
+		c.cfg.Log.Error().Err(err).Str("dependency", "disk").Msg("dependencyLost")
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(diskPause):
+	}
+}
+
 // takePart runs one member from the opening of its folder to its end.
 func (c *Coordinator) takePart(ctx context.Context) error {
 	if err := c.open(); err != nil {
 		return err
 	}
 	err := c.loop(ctx)
+	c.view.Store(&view{})
+	c.changed.notify()
 	c.failWaiters()
 	closed := c.store.Close()
 	if errors.Is(err, errReplaced) {
@@ -198,7 +224,7 @@
 		store, persisted, err = storage.OpenAs(c.cfg.DataFolder, c.cfg.Instance, 0)
 	}
 	if err != nil {
-		return fmt.Errorf("coordinator: %w", err)
+		return fmt.Errorf("%w: %w", errDisk, err)
 	}
 	c.store = store
 	fresh := persisted.HardState.Term == 0 && persisted.Snapshot.Index == 0 && len(persisted.Entries) == 0
@@ -208,7 +234,7 @@
 		}
 		store.Save(journal.Save{HardState: persisted.HardState})
 		if err := store.SaveSnapshot(journal.SaveSnapshot{Snapshot: persisted.Snapshot}); err != nil {
-			return fmt.Errorf("coordinator: %w", err)
+			return errors.Join(fmt.Errorf("%w: %w", errDisk, err), store.Close())
 		}
 	}
 	return c.begin(persisted)
--- a/control/coordinator/loop.go
+++ b/control/coordinator/loop.go
@@ -113,12 +113,16 @@
 			c.store.Save(effect)
 		case journal.SaveSnapshot:
 			if err := c.store.SaveSnapshot(effect); err != nil {
-				return fmt.Errorf("coordinator: %w", err)
+				return fmt.Errorf("%w: %w", errDisk, err)
 			}
 		}
 	}
 	if err := c.store.Sync(); err != nil {
-		return fmt.Errorf("coordinator: %w", err)
+		return fmt.Errorf("%w: %w", errDisk, err)
+	}
+	if c.diskFailed {
+		c.diskFailed = false
+		c.cfg.Log.Info().Str("dependency", "disk").Msg("dependencyRegained")
 	}
 	return nil
 }
