Reads without a floor share one question for the primary's position

Cause: after a restart no entry has a proven position, so all reads went to the primary's three slots for two seconds. A transaction that reads nothing proves the position without a slot; one is asked for all.

--- a/entry/proxy/cluster.go
+++ b/entry/proxy/cluster.go
@@ -26,6 +26,8 @@
 	refused map[group.Server]time.Time
 	// changed is closed when the roster or the primary changes.
 	changed chan struct{}
+	// proving is closed when the question for a proof that is under way has ended, nil while there is none.
+	proving chan struct{}
 }
 
 func newCluster(name group.Service) *cluster {
@@ -104,6 +106,24 @@
 	return floor.Raise(proof.Position, session), ok
 }
 
+// startProof returns true to the one that shall ask for a proof, and to the others a channel that is closed when that has ended.
+func (c *cluster) startProof() (bool, <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.proving != nil {
+		return false, c.proving
+	}
+	c.proving = make(chan struct{})
+	return true, nil
+}
+
+func (c *cluster) endProof() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	close(c.proving)
+	c.proving = nil
+}
+
 // proofAge returns how old the newest proof is.
 func (c *cluster) proofAge(now time.Time) time.Duration {
 	c.mu.Lock()
--- a/entry/proxy/request.go
+++ b/entry/proxy/request.go
@@ -248,8 +248,7 @@
 
 // readStale runs a read on the best server that has the needed position, and on a second one if the first is slow to answer.
 func (r *request) readStale() statement.Answer {
-	now := r.session.proxy.cfg.Now()
-	least, known := r.cluster.least(now, r.route.MaxStaleness-clockMargin, r.floorOfSession())
+	least, known := r.findFloor()
 	if !known {
 		return r.readNewest()
 	}
@@ -292,6 +291,49 @@
 	return last
 }
 
+// findFloor returns the floor of a read, if need be after asking the primary for its position, which takes it no slot.
+//
+// All reads that lack a floor share one question: after a restart they would otherwise crowd the primary.
+func (r *request) findFloor() (group.Floor, bool) {
+	for {
+		now := r.session.proxy.cfg.Now()
+		least, known := r.cluster.least(now, r.route.MaxStaleness-clockMargin, r.floorOfSession())
+		if known || r.patience() <= minPatience {
+			return least, known
+		}
+		mine, ended := r.cluster.startProof()
+		if mine {
+			proven := r.prove()
+			r.cluster.endProof()
+			if !proven {
+				return group.Floor{}, false
+			}
+			continue
+		}
+		pause(ended, r.patience())
+	}
+}
+
+// proofPriority puts questions for a position before all other work: they are brief and many wait for them.
+const proofPriority = -1
+
+// prove asks the primary for its position inside a transaction of its own.
+func (r *request) prove() bool {
+	p := r.cluster.leader(r.session.proxy.cfg.Now())
+	if p == nil {
+		return false
+	}
+	sent := r.session.proxy.cfg.Now()
+	result, _ := r.session.proxy.run(p, forward.Work{
+		Workspace: r.session.workspace, Begin: &beginOwn, Timeout: max(r.patience(), minOffer), Patience: r.patience(), Priority: proofPriority,
+	})
+	refusal, proven := r.opened(p, result, sent)
+	if refusal.Outcome == statement.ReadOnlyServer {
+		r.cluster.notPrimary(p, sent)
+	}
+	return proven
+}
+
 // hedgeDelay is how long a read may go unanswered before a second server is asked.
 func (r *request) hedgeDelay() time.Duration { return max(minHedge, r.route.Target/hedgeShare) }
 
--- a/entry/proxy/transaction.go
+++ b/entry/proxy/transaction.go
@@ -223,11 +223,11 @@
 
 // onReplica begins a read-only transaction on the best server that has the needed position.
 func (b *binding) onReplica() (forward.Result, statement.Answer, bool) {
-	now := b.session.proxy.cfg.Now()
-	least, known := b.cluster.least(now, b.route.MaxStaleness-clockMargin, b.floorOfSession())
+	least, known := b.findFloor()
 	if !known {
 		return b.onPrimary()
 	}
+	now := b.session.proxy.cfg.Now()
 	begin := statement.Statement{ID: statement.Own, Verb: statement.Begin, ReadOnly: true, After: least}
 	for b.left() > minOffer {
 		p := b.cluster.reader(b.session.proxy.near, b.tried)
--- a/entry/quota/quota.go
+++ b/entry/quota/quota.go
@@ -148,11 +148,13 @@
 	return &Error{Workspace: workspace}
 }
 
-// isSilent tells whether the leader may be gone; whoever waits is settled soon then, out of the floor share or as refused.
+// isSilent tells whether the leader may be gone, or has only just heard of this entry; whoever waits is settled soon then, out of
+// the floor share or as refused.
 func (q *Quota) isSilent() bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.entry.Silent(time.Now())
+	now := time.Now()
+	return q.entry.Silent(now) || now.Sub(q.answered) < q.cfg.Settings.CutOffAfter
 }
 
 // Ready tells whether the leader has known this entry for long enough that its buckets are not empty for want of contact.
