Two draws without an answer make an entry look for another control leader

Cause: with the leader frozen, entries waited up to 450 ms for their renewal before they asked another process.

--- a/entry/renewal/agent.go
+++ b/entry/renewal/agent.go
@@ -58,6 +58,9 @@
 	leader   string
 	// failed holds when an address last did not answer.
 	failed map[string]time.Time
+	// unanswered counts the calls in a row that the leader has not answered, and abandon ends the renewal that waits for it.
+	unanswered int
+	abandon    context.CancelFunc
 
 	roster fleet.RosterVersion
 	lost   bool
@@ -178,6 +181,9 @@
 	sent := a.cfg.Now()
 	calling, done := context.WithTimeout(ctx, hold+answerTime)
 	defer done()
+	a.mu.Lock()
+	a.abandon = done
+	a.mu.Unlock()
 	var reply fleet.RenewReply
 	err := a.cfg.Client.Call(calling, address, fleet.KindRenew, request, &reply)
 	a.noteFailure(address, errors.Is(err, peer.ErrUnavailable))
@@ -222,5 +228,25 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, attempt)
 	defer cancel()
-	return a.cfg.Client.Call(ctx, leader, kind, body, reply)
+	err := a.cfg.Client.Call(ctx, leader, kind, body, reply)
+	a.noteCall(leader, err)
+	return err
+}
+
+// maxUnanswered is how many calls in a row the leader may leave unanswered before another one is looked for.
+const maxUnanswered = 2
+
+// noteCall looks for another leader once the known one has left several calls unanswered.
+func (a *Agent) noteCall(leader string, err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !errors.Is(err, peer.ErrUnavailable) {
+		a.unanswered = 0
+		return
+	}
+	a.unanswered++
+	if a.unanswered >= maxUnanswered && a.leader == leader && a.abandon != nil {
+		a.unanswered = 0
+		a.abandon()
+	}
 }
