Spare idle connections are closed after 1.5 s

Cause: a database counts the connections of a dead machine for 3 s; with all of its limit in use before a loss of power, none could be opened after it.

--- a/entry/proxy/pool.go
+++ b/entry/proxy/pool.go
@@ -24,6 +24,8 @@
 	downPause = 200 * time.Millisecond
 	// idleLimit is how long an unused connection is kept.
 	idleLimit = 20 * time.Second
+	// spareLimit is how long it is kept beside another one of the same workspace.
+	spareLimit = 1500 * time.Millisecond
 	// spareWork is how much work may be under way beyond a server's slots, so that no slot waits for the next one.
 	spareWork = 1
 	// paceWeight is the weight of one more sample in the mean time of work.
@@ -395,16 +397,30 @@
 	p.idle = nil
 }
 
-// trim closes connections that were not used for a while.
+// trim closes connections that were not used for a while, sooner where the workspace has another one.
+//
+// After a loss of power a database counts the connections of the dead for seconds, so that what is kept without need then lacks.
 func (p *pool) trim() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
-	for len(p.idle) > 0 && now.Sub(p.idle[0].used) > idleLimit {
-		p.idle[0].backend.Close()
-		p.idle = p.idle[1:]
-		p.open--
+	newer := make(map[inventory.WorkspaceName]bool, len(p.idle))
+	kept := make([]*link, 0, len(p.idle))
+	for _, l := range slices.Backward(p.idle) {
+		limit := idleLimit
+		if newer[l.workspace] {
+			limit = spareLimit
+		}
+		newer[l.workspace] = true
+		if now.Sub(l.used) > limit {
+			l.backend.Close()
+			p.open--
+			continue
+		}
+		kept = append(kept, l)
 	}
+	slices.Reverse(kept)
+	p.idle = kept
 }
 
 // close ends the idle connections; those in use end when they are released.
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -192,7 +192,7 @@
 }
 
 // upkeepPeriod is the time between two looks at idle connections.
-const upkeepPeriod = time.Second
+const upkeepPeriod = 500 * time.Millisecond
 
 func (p *Proxy) upkeep() {
 	if current := p.policy.Load(); current != nil && current.TransactionIdle > 0 {
