Request path and coordinator in smaller files; a process hears that it was replaced only once that is final

A leader told a process that it was no member while the change of the members could still be lost; the process would have emptied its folder too soon. Found by reading.

--- a/control/coordinator/coordinator.go
+++ b/control/coordinator/coordinator.go
@@ -127,6 +127,8 @@
 	until      time.Time
 	membership journal.Membership
 	fresh      bool
+	// settled means that everything in the journal is final, the membership included.
+	settled bool
 	// answering is how many voters a leader has heard lately.
 	answering int
 }
--- a/control/coordinator/loop.go
+++ b/control/coordinator/loop.go
@@ -2,46 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"sync"
 	"time"
 
-	"lentilwind.dev/lentilwind/inventory"
 	"lentilwind.dev/lentilwind/journal"
 	"lentilwind.dev/lentilwind/protocol"
 )
 
-// errOutcomeUnknown means that a proposal may or may not take effect later.
-var errOutcomeUnknown = errors.New("coordinator: the outcome is unknown; send the same again")
-
-// waiter waits for the entry of one proposal.
-type waiter struct {
-	term journal.Term
-	done chan<- error
-}
-
-// notifier wakes everybody who waits for a change.
-type notifier struct {
-	mu sync.Mutex
-	ch chan struct{}
-}
-
-func (n *notifier) reset() { n.ch = make(chan struct{}) }
-
-func (n *notifier) notify() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	close(n.ch)
-	n.ch = make(chan struct{})
-}
-
-func (n *notifier) watch() <-chan struct{} {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.ch
-}
-
 // loop feeds the machine until the context ends.
 func (c *Coordinator) loop(ctx context.Context) error {
 	running, stop := context.WithCancel(ctx)
@@ -201,7 +168,8 @@
 	until, _ := c.machine.Lease(now)
 	next := &view{
 		self: c.store.Identity().Member, term: c.machine.Term(), leader: c.machine.Leader(), membership: c.machine.Membership(),
-		fresh: c.machine.Last() == 0 && len(c.machine.Membership().Members) == 0,
+		settled: c.machine.Committed() == c.machine.Last(),
+		fresh:   c.machine.Last() == 0 && len(c.machine.Membership().Members) == 0,
 	}
 	next.answering = c.answering(now, next)
 	if member, found := next.membership.Find(next.leader); found {
@@ -240,181 +208,3 @@
 	v := c.view.Load()
 	return v.term, c.cfg.Now().Before(v.until)
 }
-
-// ask runs a function on the loop and waits until it has.
-func (c *Coordinator) ask(ctx context.Context, do input) error {
-	done := make(chan struct{})
-	in := func(now time.Time) []journal.Effect {
-		defer close(done)
-		return do(now)
-	}
-	select {
-	case c.inputs <- in:
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
-// propose returns the index of a command once a majority holds it and it has been applied.
-func (c *Coordinator) propose(ctx context.Context, cmd command) (journal.Index, error) {
-	data, err := protocol.Encode(cmd)
-	if err != nil {
-		return 0, err
-	}
-	return c.submit(ctx, func(now time.Time) (journal.Position, []journal.Effect, error) { return c.machine.Propose(now, data) })
-}
-
-func (c *Coordinator) submit(
-	ctx context.Context, begin func(now time.Time) (journal.Position, []journal.Effect, error),
-) (journal.Index, error) {
-	done := make(chan error, 1)
-	var index journal.Index
-	err := c.ask(ctx, func(now time.Time) []journal.Effect {
-		position, effects, err := begin(now)
-		if err != nil {
-			done <- err
-			return nil
-		}
-		index = position.Index
-		c.waiters[position.Index] = waiter{term: position.Term, done: done}
-		return effects
-	})
-	if err != nil {
-		return 0, errors.Join(errOutcomeUnknown, err)
-	}
-	select {
-	case err := <-done:
-		return index, err
-	case <-ctx.Done():
-		return 0, errors.Join(errOutcomeUnknown, ctx.Err())
-	}
-}
-
-// resolve answers the proposal whose place an applied entry has taken.
-func (c *Coordinator) resolve(entry journal.Entry) {
-	w, found := c.waiters[entry.Index]
-	if !found {
-		return
-	}
-	delete(c.waiters, entry.Index)
-	if w.term != entry.Term {
-		w.done <- &journal.NotLeaderError{Leader: c.machine.Leader()}
-		return
-	}
-	w.done <- nil
-}
-
-// failWaiters ends all waiting when the leadership is lost.
-func (c *Coordinator) failWaiters() {
-	for index, w := range c.waiters {
-		w.done <- errOutcomeUnknown
-		delete(c.waiters, index)
-	}
-}
-
-// HandOver gives the leadership to another member, if this one has it, and waits until it is gone.
-func (c *Coordinator) HandOver(ctx context.Context) error {
-	for {
-		changed := c.changed.watch()
-		leading := false
-		err := c.ask(ctx, func(now time.Time) []journal.Effect {
-			leading = c.machine.Role() == journal.RoleLeader && len(c.machine.Membership().Voters()) > 1
-			effects, _ := c.machine.Transfer(now)
-			return effects
-		})
-		if err != nil || !leading {
-			return err
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return fmt.Errorf("coordinator: hand over: %w", ctx.Err())
-		}
-	}
-}
-
-// Times and sizes of sending.
-const (
-	courierQueue = 64
-	sendTimeout  = time.Second
-)
-
-// courier sends the messages for one member, so that a member that does not answer holds up no other.
-type courier struct {
-	address  string
-	messages chan journal.Message
-	cancel   context.CancelFunc
-}
-
-// envelope carries a message with the address at which its sender is reached.
-type envelope struct {
-	Address string          `cbor:"1,keyasint"`
-	Message journal.Message `cbor:"2,keyasint"`
-}
-
-// post queues a message; when the queue is full the message is lost, which the journal makes good.
-func (c *Coordinator) post(ctx context.Context, msg journal.Message) {
-	address := c.heard[msg.To]
-	if member, found := c.machine.Membership().Find(msg.To); found {
-		address = member.Address
-	}
-	cr := c.couriers[msg.To]
-	if cr != nil && cr.address != address {
-		cr.cancel()
-		cr = nil
-	}
-	if cr == nil {
-		if address == "" {
-			return
-		}
-		cr = c.newCourier(ctx, address)
-		c.couriers[msg.To] = cr
-	}
-	select {
-	case cr.messages <- msg:
-	default:
-	}
-}
-
-func (c *Coordinator) newCourier(ctx context.Context, address string) *courier {
-	ctx, cancel := context.WithCancel(ctx)
-	cr := &courier{address: address, messages: make(chan journal.Message, courierQueue), cancel: cancel}
-	c.group.Go(func() error {
-		for {
-			select {
-			case <-ctx.Done():
-				return nil
-			case msg := <-cr.messages:
-				sending, done := context.WithTimeout(ctx, sendTimeout)
-				err := c.cfg.Client.Send(sending, address, protocol.KindJournal, envelope{Address: c.cfg.Address, Message: msg})
-				done()
-				if err != nil {
-					c.cfg.Log.Debug().Err(err).Str("address", address).Msg("journalMessageLost")
-				}
-			}
-		}
-	})
-	return cr
-}
-
-// onJournal takes a message of another member in.
-func (c *Coordinator) onJournal(ctx context.Context, _ inventory.InstanceName, received envelope) (struct{}, error) {
-	step := func(now time.Time) []journal.Effect {
-		if received.Message.To != c.store.Identity().Member {
-			return nil
-		}
-		c.heard[received.Message.From] = received.Address
-		return c.machine.Step(now, received.Message)
-	}
-	select {
-	case c.inputs <- step:
-	case <-ctx.Done():
-	}
-	return struct{}{}, nil
-}
--- a/control/coordinator/members.go
+++ b/control/coordinator/members.go
@@ -141,7 +141,12 @@
 	if _, leads := c.leading(); !leads {
 		return fleet.RegistrationReply{}, c.notLeader()
 	}
-	_, member := c.view.Load().membership.Find(r.Member)
+	v := c.view.Load()
+	_, member := v.membership.Find(r.Member)
+	if !member && !v.settled {
+		// A process that hears that it is no member empties its folder, so the membership must be final.
+		return fleet.RegistrationReply{}, &protocol.Refusal{Code: protocol.CodeUnavailable, Message: "the members are changing"}
+	}
 	if !member && r.Fresh {
 		c.members.mu.Lock()
 		c.members.standbys[r.Member] = standby{name: r.Name, address: r.Address, heard: c.cfg.Now()}
--- a/entry/proxy/pool.go
+++ b/entry/proxy/pool.go
@@ -9,7 +9,6 @@
 	"lentilwind.dev/lentilwind/database"
 	"lentilwind.dev/lentilwind/fleet"
 	"lentilwind.dev/lentilwind/forward"
-	"lentilwind.dev/lentilwind/group"
 	"lentilwind.dev/lentilwind/inventory"
 	"lentilwind.dev/lentilwind/statement"
 )
@@ -89,20 +88,6 @@
 	sent     int
 }
 
-// waiter waits for its turn.
-type waiter struct {
-	workspace inventory.WorkspaceName
-	values    map[string]string
-	priority  int
-	turn      chan turn
-}
-
-// turn is the right to run work: on a connection, or on one that must be opened first.
-type turn struct {
-	link *link
-	err  error
-}
-
 func newPool(server fleet.Server, connector database.Connector, now func() time.Time, limit, width int) *pool {
 	return &pool{server: server, connector: connector, now: now, limit: limit, width: width, pace: firstPace}
 }
@@ -136,72 +121,6 @@
 	}
 }
 
-// enter returns a turn, or a place in line.
-func (p *pool) enter(work forward.Work) (turn, *waiter) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	switch {
-	case p.gone || p.closed:
-		return turn{err: errGone}, nil
-	case p.down && len(p.idle) == 0:
-		return turn{err: errDown}, nil
-	}
-	at := len(p.waiting)
-	for at > 0 && p.waiting[at-1].priority > work.Priority {
-		at--
-	}
-	if at == 0 && p.running < p.width {
-		if l, ok := p.reserve(work.Workspace, work.Values); ok {
-			return turn{link: l}, nil
-		}
-	}
-	if ahead := time.Duration(at+1) * p.pace / time.Duration(p.width); ahead > work.Patience {
-		return turn{err: errTooLong}, nil
-	}
-	w := &waiter{workspace: work.Workspace, values: work.Values, priority: work.Priority, turn: make(chan turn, 1)}
-	p.waiting = slices.Insert(p.waiting, at, w)
-	return turn{}, w
-}
-
-// reserve counts one more work and takes an idle connection for it, or the room to open one; false means that there is neither.
-func (p *pool) reserve(workspace inventory.WorkspaceName, values map[string]string) (*link, bool) {
-	if l := p.pick(workspace, values); l != nil {
-		p.running++
-		return l, true
-	}
-	switch {
-	case p.open < p.limit && !p.now().Before(p.fullUntil):
-		p.open++
-	case len(p.idle) > 0:
-		p.idle[0].backend.Close()
-		p.idle = p.idle[1:]
-	case p.open == 0:
-		p.open++
-	default:
-		return nil, false
-	}
-	p.running++
-	return nil, true
-}
-
-// next gives turns to those in line.
-func (p *pool) next() {
-	for len(p.waiting) > 0 && p.running < p.width {
-		w := p.waiting[0]
-		if p.gone || p.closed {
-			w.turn <- turn{err: errGone}
-			p.waiting = p.waiting[1:]
-			continue
-		}
-		l, ok := p.reserve(w.workspace, w.values)
-		if !ok {
-			return
-		}
-		p.waiting = p.waiting[1:]
-		w.turn <- turn{link: l}
-	}
-}
-
 // pick takes the idle connection of a workspace that needs the least to be made fit, the last used one first.
 func (p *pool) pick(workspace inventory.WorkspaceName, values map[string]string) *link {
 	best := -1
@@ -226,23 +145,6 @@
 	return l
 }
 
-func (p *pool) await(w *waiter, patience time.Duration) turn {
-	clock := time.NewTimer(patience)
-	defer clock.Stop()
-	select {
-	case t := <-w.turn:
-		return t
-	case <-clock.C:
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if at := slices.Index(p.waiting, w); at >= 0 {
-		p.waiting = slices.Delete(p.waiting, at, at+1)
-		return turn{err: errNoConnection}
-	}
-	return <-w.turn
-}
-
 // connect opens a connection whose room was taken before.
 func (p *pool) connect(workspace inventory.WorkspaceName, timeout time.Duration) (*link, error) {
 	target := database.Target{Address: p.server.Address, Service: p.server.Service, Server: p.server.Name, Workspace: workspace}
@@ -450,74 +352,3 @@
 	defer p.mu.Unlock()
 	p.server.Primary, p.server.Leaving = s.Primary, s.Leaving
 }
-
-// remoteFresh is how long what a home said of its load is believed.
-const remoteFresh = 300 * time.Millisecond
-
-// load tells how soon the server can be expected to serve, for choosing among replicas.
-func (p *pool) load() (busyness int, usable, lagging, busy bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.now()
-	usable = !p.gone && !p.closed && !p.server.Leaving && !p.down
-	busyness = p.running + len(p.waiting) + p.sent
-	if now.Sub(p.remoteAt) < remoteFresh {
-		busyness = max(busyness, p.remote)
-	}
-	return busyness, usable, now.Before(p.laggingUntil), now.Before(p.busyUntil)
-}
-
-// busyness is how much work runs or waits here.
-func (p *pool) busyness() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.running + len(p.waiting)
-}
-
-// noteRemote takes in what a home has answered.
-func (p *pool) noteRemote(result forward.Result, now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.remote, p.remoteAt = result.Load, now
-	switch {
-	case len(result.Answers) > 0 || result.Opened != nil:
-		p.noteSuccess(now)
-	case result.Failure != "":
-		p.noteFailure(now)
-	}
-}
-
-// sending counts work on its way to a home.
-func (p *pool) sending(change int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.sent += change
-}
-
-func (p *pool) noteLagging(until time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.laggingUntil = until
-}
-
-func (p *pool) noteBusy(until time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.busyUntil = until
-}
-
-func (p *pool) noteOK() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.noteSuccess(p.now())
-}
-
-// health returns when the server last answered and since when it has failed without an answer.
-func (p *pool) health() (lastOK, failingSince time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.lastOK, p.failingSince
-}
-
-// id returns the name of the server.
-func (p *pool) id() group.Server { return p.server.Name }
