--- a/entry/proxy/session.go
+++ b/entry/proxy/session.go
@@ -138,10 +138,11 @@
 
 // Limits of the wait for a part of the quota.
 const (
-	// untriedShare is the part of the latency target, as its inverse, after which a refusal comes too late to be of use.
-	untriedShare = 4
+	// untriedShare is the part of the latency target, as its inverse, that may pass in wait; after a quarter a refusal comes too late
+	// to be of use.
+	untriedShare = 5
 	// minQuotaWait lets one lost question to the leader be repeated.
-	minQuotaWait = 50 * time.Millisecond
+	minQuotaWait = 30 * time.Millisecond
 )
 
 // admit decides whether an operation may begin: route, key and quota.
