--- a/entry/proxy/read.go
+++ b/entry/proxy/read.go
@@ -237,7 +237,7 @@
 	if r.route.Consistency != policy.OwnWrites {
 		return group.Floor{}
 	}
-	return r.session.own[r.route.Service]
+	return r.session.written[r.route.Service]
 }
 
 // near tells whether a server stands in this entry's data centre.
--- a/entry/proxy/request.go
+++ b/entry/proxy/request.go
@@ -164,7 +164,7 @@
 }
 
 func (s *session) remember(service group.Service, position group.Floor) {
-	if s.own[service].Less(position) {
-		s.own[service] = position
+	if s.written[service].Less(position) {
+		s.written[service] = position
 	}
 }
--- a/entry/proxy/session.go
+++ b/entry/proxy/session.go
@@ -19,11 +19,13 @@
 	database  policy.Database
 	key       string
 	workspace inventory.WorkspaceName
+	// unlimited is true while the workspace has no rate.
+	unlimited bool
 	values    map[string]string
 	prepared  map[string]forward.Shape
-	// own is the last position that a commit of this session was given.
-	own map[group.Service]group.Floor
-	tx  *transaction
+	// written is the last position that a commit of this session was given.
+	written map[group.Service]group.Floor
+	tx      *transaction
 
 	// idle is true while the session waits for a statement outside a transaction; others may read it.
 	idle atomic.Bool
@@ -32,7 +34,7 @@
 // Serve runs a caller's session to its end.
 func (p *Proxy) Serve(caller Caller) {
 	defer caller.Close()
-	s := &session{proxy: p, caller: caller, own: make(map[group.Service]group.Floor)}
+	s := &session{proxy: p, caller: caller, written: make(map[group.Service]group.Floor)}
 	p.add(s)
 	defer p.remove(s)
 	defer s.abandon()
@@ -120,10 +122,7 @@
 	}
 	owner := current.Workspaces[s.key]
 	if route.Open {
-		s.workspace = ""
-		if owner != nil {
-			s.workspace = owner.Name
-		}
+		s.runFor(owner)
 		return route, statement.Answer{}, true
 	}
 	if !s.proxy.leased() {
@@ -132,10 +131,18 @@
 	if owner == nil {
 		return nil, statement.Refuse(statement.BadKey, "the key belongs to no workspace", statement.Idle), false
 	}
-	s.workspace = owner.Name
+	s.runFor(owner)
 	return route, statement.Answer{}, true
 }
 
+// runFor notes for whom the session runs requests; nil stands for nobody.
+func (s *session) runFor(owner *policy.Workspace) {
+	s.workspace, s.unlimited = "", false
+	if owner != nil {
+		s.workspace, s.unlimited = owner.Name, owner.Unlimited
+	}
+}
+
 // Limits of the wait for a part of the quota.
 const (
 	// untriedShare is the part of the latency target, as its inverse, that may pass in wait; after a quarter a refusal comes too late
@@ -152,7 +159,7 @@
 		s.logRefusal(id, "authorize", refusal)
 		return nil, refusal, false
 	}
-	if s.workspace == "" {
+	if s.workspace == "" || s.unlimited {
 		return route, statement.Answer{}, true
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), max(minQuotaWait, route.Target/untriedShare))
--- a/lentilwind/policy/policy.go
+++ b/lentilwind/policy/policy.go
@@ -74,7 +74,9 @@
 	Keys []string
 	// Rate is in operations a second and Burst in operations, over the whole fleet.
 	Rate, Burst float64
-	Priority    int
+	// Unlimited workspaces have no rate.
+	Unlimited bool
+	Priority  int
 }
 
 // Builder collects the parts of a policy and checks them.
