Waiting control processes follow a follower's word to the leader

After an exchange of seeds no waiting process had the leader among its addresses; it asked others, which named the leader, and did not follow. So a lost disk was not replaced, and the next planned replacement took the majority. Also: word that a member was replaced now names the member, so that it cannot empty the folder of its successor. Test: TestProcessThatKnowsOnlyAFollowerReplacesALostMember, which failed first.

--- a/control/coordinator/loop.go
+++ b/control/coordinator/loop.go
@@ -24,7 +24,7 @@
 		case in := <-c.inputs:
 			effects = c.batch(in)
 		}
-		if c.members.replaced.Swap(false) {
+		if c.members.replaced.Swap(0) == uint64(c.store.Identity().Member) {
 			return errReplaced
 		}
 		now := c.cfg.Now()
--- a/control/coordinator/members.go
+++ b/control/coordinator/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -41,8 +42,8 @@
 	// since is when the members' silence began to count for this leader.
 	since time.Time
 	term  journal.Term
-	// replaced tells the loop to start over with an empty folder.
-	replaced atomic.Bool
+	// replaced names the member of this process that is none any more, so that the loop starts over with an empty folder.
+	replaced atomic.Uint64
 }
 
 // register tells the leader time and again that this process is there, and learns whether it is a member.
@@ -71,7 +72,7 @@
 	own := fleet.Registration{Member: v.self, Name: c.cfg.Instance, Address: c.cfg.Address, Fresh: v.fresh}
 	reply, ok := c.askLeader(ctx, own)
 	if ok && !reply.Member && !v.fresh {
-		c.members.replaced.Store(true)
+		c.members.replaced.Store(uint64(v.self))
 		select {
 		case c.inputs <- func(time.Time) []journal.Effect { return nil }:
 		case <-ctx.Done():
@@ -79,24 +80,34 @@
 	}
 }
 
-// askLeader sends a registration to the leader, wherever it is.
+// askLeader sends a registration to the leader, wherever it is; a process that does not lead may tell its address.
 func (c *Coordinator) askLeader(ctx context.Context, own fleet.Registration) (fleet.RegistrationReply, bool) {
-	for _, address := range c.controls() {
-		if address == c.cfg.Address {
+	addresses := c.controls()
+	for i := 0; i < len(addresses); i++ {
+		if addresses[i] == c.cfg.Address {
 			continue
 		}
-		calling, done := context.WithTimeout(ctx, registerTime)
-		var reply fleet.RegistrationReply
-		err := c.cfg.Client.Call(calling, address, fleet.KindRegister, own, &reply)
-		done()
+		reply, err := c.registerAt(ctx, addresses[i], own)
 		if err == nil {
-			c.known.Store(&address)
+			c.known.Store(&addresses[i])
 			return reply, true
 		}
+		var refused *protocol.Refusal
+		if errors.As(err, &refused) && refused.Leader != "" && !slices.Contains(addresses, refused.Leader) {
+			addresses = append(addresses, refused.Leader)
+		}
 	}
 	return fleet.RegistrationReply{}, false
 }
 
+func (c *Coordinator) registerAt(ctx context.Context, address string, own fleet.Registration) (fleet.RegistrationReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, registerTime)
+	defer cancel()
+	var reply fleet.RegistrationReply
+	err := c.cfg.Client.Call(ctx, address, fleet.KindRegister, own, &reply)
+	return reply, err
+}
+
 // controls returns the addresses of the known control processes, the leader first.
 func (c *Coordinator) controls() []string {
 	v := c.view.Load()
@@ -107,6 +118,9 @@
 		}
 	}
 	add(v.address)
+	if known := c.known.Load(); known != nil {
+		add(*known)
+	}
 	for _, member := range v.membership.Members {
 		add(member.Address)
 	}
