--- a/control/coordinator/coordinator.go
+++ b/control/coordinator/coordinator.go
@@ -116,6 +116,8 @@
 	members membership
 	// known is the leader that has answered the last registration.
 	known atomic.Pointer[string]
+	// contacts are the addresses that the last registration told, as kept on the disk.
+	contacts atomic.Pointer[[]string]
 }
 
 // view is what others may read of the machine.
@@ -158,6 +160,7 @@
 func (c *Coordinator) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	c.group = g
+	c.loadContacts()
 	g.Go(func() error { return c.leader.run(ctx) })
 	g.Go(func() error { return c.register(ctx) })
 	g.Go(func() error {
@@ -203,6 +206,7 @@
 	closed := c.store.Close()
 	if errors.Is(err, errReplaced) {
 		c.emptied = true
+		c.contacts.Store(nil)
 		return errors.Join(err, emptyFolder(c.cfg.DataFolder))
 	}
 	return errors.Join(err, closed)
--- a/control/coordinator/members.go
+++ b/control/coordinator/members.go
@@ -90,6 +90,7 @@
 		reply, err := c.registerAt(ctx, addresses[i], own)
 		if err == nil {
 			c.known.Store(&addresses[i])
+			c.keepContacts(reply.Controls)
 			return reply, true
 		}
 		var refused *protocol.Refusal
@@ -127,6 +128,11 @@
 	for _, address := range *c.seeds.Load() {
 		add(address)
 	}
+	if contacts := c.contacts.Load(); contacts != nil {
+		for _, address := range *contacts {
+			add(address)
+		}
+	}
 	c.members.mu.Lock()
 	defer c.members.mu.Unlock()
 	for _, s := range c.members.standbys {
