--- a/instance/peer/client.go
+++ b/instance/peer/client.go
@@ -206,10 +206,11 @@
 				l.close()
 				continue
 			}
+			// The time is taken first: the answer may be here before send returns.
+			sent, pinged = time.Now(), true
 			if err := l.send(kindPing, sender, l.nextID(), struct{}{}); err != nil {
 				continue
 			}
-			sent, pinged = time.Now(), true
 			look.Reset(silentAfter - pingAfter)
 		}
 	}
