A test's failover waits until the next primary has what was confirmed

The harness promoted a named server whether or not it had the write; control takes the member that has received the most. The delay stays in the test, the assertions are as they were. No program changed.

--- a/entry/internal/caller/failover_test.go
+++ b/entry/internal/caller/failover_test.go
@@ -6,9 +6,11 @@
 	"testing"
 	"time"
 
+	"lentilwind.dev/bench/database"
 	"lentilwind.dev/entry/internal/directory"
 	"lentilwind.dev/entry/internal/pool"
 	"lentilwind.dev/lentilwind/group"
+	"lentilwind.dev/lentilwind/jsonc"
 	"lentilwind.dev/lentilwind/session"
 )
 
@@ -17,6 +19,8 @@
 	e := f.newEntry()
 	conn := e.connect(t, "")
 	ctx := testContext(t)
+	// The write is confirmed by the other replica before the next primary has it.
+	f.databases[1].SetFaults(func(faults *database.Faults) { faults.ReceiveDelay = jsonc.Duration(50 * time.Millisecond) })
 	if _, err := conn.Exec(ctx, insertOrder, "before", 1); err != nil {
 		t.Fatal(err)
 	}
--- a/entry/internal/caller/harness_test.go
+++ b/entry/internal/caller/harness_test.go
@@ -153,9 +153,12 @@
 	}
 }
 
-// replace makes another server the primary of slot 0, as control does.
+// replace makes another server the primary of slot 0, as control does: one that has received all that a majority may have confirmed.
+//
+// Control takes the member that has received the most; here the tests name it, so it has to catch up before the others are fenced.
 func (f *fleet) replace(term group.Term, primary int, followers ...int) {
 	f.t.Helper()
+	f.await(testContext(f.t), func() bool { return f.received(primary) >= f.mostReceived() })
 	for _, db := range append(followers, primary) {
 		f.askMonitor(db, fmt.Sprintf("SELECT lentilwind_fence(0, %d)", term))
 	}
@@ -166,6 +169,20 @@
 	}
 }
 
+// received returns the last position that a database has received in slot 0.
+func (f *fleet) received(db int) group.Position {
+	status, _ := f.databases[db].Status(0)
+	return status.Received
+}
+
+func (f *fleet) mostReceived() group.Position {
+	var most group.Position
+	for db := range f.databases {
+		most = max(most, f.received(db))
+	}
+	return most
+}
+
 // entry is one entry of the fleet.
 type entry struct {
 	server *caller.Server
