Orders to promote that get no answer are repeated with a higher token

A repeated order has a higher token, so a late one is refused. Change: an order has 350 ms and is repeated up to 6 times within the same promotion.

--- a/control/coordinator/promoter.go
+++ b/control/coordinator/promoter.go
@@ -21,8 +21,10 @@
 	probeTime = 350 * time.Millisecond
 	// statusTime bounds the question for a replica's position.
 	statusTime = 400 * time.Millisecond
-	// orderTime bounds one call to the platform.
-	orderTime = 900 * time.Millisecond
+	// orderTime bounds one order; one that is carried out is answered within some 10 ms.
+	orderTime = 350 * time.Millisecond
+	// maxOrders is how often an order is repeated that got no answer.
+	maxOrders = 6
 	// takeoverTime is how long an appointed database may take to lead; databases need about 600 ms.
 	takeoverTime = 1500 * time.Millisecond
 	takeoverPoll = 30 * time.Millisecond
@@ -149,9 +151,7 @@
 	p.mu.Lock()
 	replaced := w.succession.Primary()
 	p.mu.Unlock()
-	err := p.order(ctx, name, best)
-	p.c.cfg.Log.Info().Err(err).Str("service", string(name)).Str("server", string(best.Name)).Str("replaces", string(replaced)).
-		Str("reason", string(reason)).Msg("promotionOrdered")
+	err := p.orderRepeatedly(ctx, name, best, replaced, reason)
 	if err != nil && !errors.Is(err, ErrUnanswered) {
 		return
 	}
@@ -176,6 +176,20 @@
 	}
 }
 
+// orderRepeatedly gives an order until it is answered, each time with a higher token: whatever is carried out late then is refused.
+func (p *promoter) orderRepeatedly(ctx context.Context, name group.Service, best fleet.Server, replaced group.Server, reason succession.Reason) error {
+	var err error
+	for attempt := range maxOrders {
+		err = p.order(ctx, name, best)
+		p.c.cfg.Log.Info().Err(err).Str("service", string(name)).Str("server", string(best.Name)).Str("replaces", string(replaced)).
+			Str("reason", string(reason)).Int("attempt", attempt+1).Msg("promotionOrdered")
+		if !errors.Is(err, ErrUnanswered) || ctx.Err() != nil {
+			return err
+		}
+	}
+	return err
+}
+
 // order journals the decision, so that its token is never used for another one, and then gives the order.
 func (p *promoter) order(ctx context.Context, name group.Service, best fleet.Server) error {
 	deciding, cancel := context.WithTimeout(ctx, proposeTime)
