A new control leader begins with the quota that its predecessor has reserved

Change: the leader journals a reserve of 0.35 of each bucket that it does not touch until a lower one is journalled; its successor starts from it. A request is refused only on the leader's word or out of the floor share. Floor shares begin after 240 ms, or 5 ms an entry in large fleets; the leader tells the time. Admission counts suspended time.

--- a/control/coordinator/leadership.go
+++ b/control/coordinator/leadership.go
@@ -69,12 +69,13 @@
 		now := l.c.cfg.Now()
 		l.term = term
 		l.roster = newRoster(term, l.c.cfg.AnnouncePeriod, l.c.state.Load().Servers, now)
-		l.quota = quota.NewLeader(quota.QuickSettings(), uint64(term), now)
+		l.quota = quota.NewLeader(quota.QuickSettings(), uint64(term), l.c.state.Load().Reserves, now)
 		l.version, l.listed = 0, nil
 		l.entries, l.live = make(map[inventory.InstanceName]contact), nil
 		l.duty = newPromoter(l.c, l.roster)
 	}
 	l.configure()
+	l.quota.Journalled(l.c.state.Load().Reserves)
 	return true
 }
 
@@ -167,6 +168,9 @@
 	if changed := l.roster.unrecorded(l.c.state.Load().Servers); len(changed) > 0 {
 		commands = append(commands, command{Servers: changed})
 	}
+	if reserves, changed := l.quota.Reserve(now); changed {
+		commands = append(commands, command{Reserves: &reserves})
+	}
 	return commands
 }
 
@@ -289,12 +293,32 @@
 }
 
 // onDraw answers an entry that asks for a part of the quota.
-func (l *leadership) onDraw(_ context.Context, _ inventory.InstanceName, request protocol.DrawRequest) (protocol.DrawReply, error) {
+func (l *leadership) onDraw(ctx context.Context, _ inventory.InstanceName, request protocol.DrawRequest) (protocol.DrawReply, error) {
 	if !l.hold() {
 		return protocol.DrawReply{}, l.c.notLeader()
 	}
 	defer l.mu.Unlock()
-	return l.quota.Draw(&request, l.c.cfg.Now()), nil
+	now := l.c.cfg.Now()
+	reply := l.quota.Draw(&request, now)
+	if l.pressed(request) {
+		l.release(context.WithoutCancel(ctx), now)
+	}
+	return reply, nil
+}
+
+// pressed tells whether a workspace that asks has little left beside its reserve.
+func (l *leadership) pressed(request protocol.DrawRequest) bool {
+	return slices.ContainsFunc(request.Draws, func(d protocol.Draw) bool { return l.quota.Pressed(d.Workspace) })
+}
+
+// release gives reserves up that stand in the way of requests.
+func (l *leadership) release(ctx context.Context, now time.Time) {
+	if l.recording.Load() {
+		return
+	}
+	if reserves, changed := l.quota.Reserve(now); changed {
+		l.record(ctx, command{Reserves: &reserves})
+	}
 }
 
 // announce takes in what a database says of itself.
--- a/control/coordinator/state.go
+++ b/control/coordinator/state.go
@@ -10,6 +10,7 @@
 	"lentilwind.dev/lentilwind/inventory"
 	"lentilwind.dev/lentilwind/journal"
 	"lentilwind.dev/lentilwind/protocol"
+	"lentilwind.dev/lentilwind/quota"
 )
 
 // appointment is a decision on which database takes over; its index in the journal is the fencing token.
@@ -26,6 +27,7 @@
 	Appointment *appointment             `cbor:"2,keyasint,omitempty"`
 	Entries     []inventory.InstanceName `cbor:"3,keyasint,omitempty"`
 	Servers     []fleet.Server           `cbor:"4,keyasint,omitempty"`
+	Reserves    *quota.Reserves          `cbor:"5,keyasint,omitempty"`
 }
 
 // state is the replicated state; it is replaced as a whole.
@@ -36,6 +38,8 @@
 	Entries []inventory.InstanceName `cbor:"3,keyasint"`
 	// Servers are the databases that have announced themselves, from which a new leader starts.
 	Servers map[group.Server]fleet.Server `cbor:"4,keyasint"`
+	// Reserves are the tokens of the quota that a new leader starts from.
+	Reserves quota.Reserves `cbor:"5,keyasint"`
 }
 
 // apply returns the state after a command.
@@ -45,6 +49,8 @@
 	case c.Document != nil:
 		if c.Document.Version > s.Document.Version {
 			next.Document = *c.Document
+			// The reserves belong to the limits of the former document.
+			next.Reserves.Tokens = nil
 		}
 	case c.Appointment != nil:
 		next.Appointments = maps.Clone(s.Appointments)
@@ -56,6 +62,8 @@
 		next.Appointments[a.Service] = a
 	case c.Entries != nil:
 		next.Entries = slices.Clone(c.Entries)
+	case c.Reserves != nil:
+		next.Reserves = *c.Reserves
 	case c.Servers != nil:
 		next.Servers = maps.Clone(s.Servers)
 		if next.Servers == nil {
--- a/control/internal/quota/service.go
+++ b/control/internal/quota/service.go
@@ -72,7 +72,7 @@
 // follow begins new buckets in a new term and takes in a new inventory; the caller holds the lock.
 func (s *Service) follow(term journal.Term, now time.Time) {
 	if s.leader == nil || s.term != term {
-		s.leader = quota.NewLeader(quota.DefaultSettings(), uint64(term), now)
+		s.leader = quota.NewLeader(quota.DefaultSettings(), uint64(term), quota.Reserves{}, now)
 		s.term, s.revision = term, 0
 	}
 	state := s.ledger.State()
--- a/entry/internal/command/entry.go
+++ b/entry/internal/command/entry.go
@@ -23,6 +23,7 @@
 	"lentilwind.dev/entry/internal/positions"
 	"lentilwind.dev/entry/internal/settings"
 	"lentilwind.dev/entry/quota"
+	"lentilwind.dev/instance/clock"
 	"lentilwind.dev/instance/events"
 	"lentilwind.dev/instance/identity"
 	"lentilwind.dev/instance/link"
@@ -121,7 +122,7 @@
 		Name: s.Name, Incarnation: e.incarnation, DataCentre: s.DataCentre, Address: e.advertised(), Endpoint: endpoint,
 		Leader: leader, Directory: e.directory, Log: e.log, Events: e.events, Suspects: e.keeper.Suspects, Running: e.running,
 	})
-	e.quota = quota.New(quota.Config{Name: s.Name, Settings: quotas.DefaultSettings(), Directory: e.directory, Leader: leader})
+	e.quota = quota.New(quota.Config{Name: s.Name, Settings: quotas.DefaultSettings(), Directory: e.directory, Leader: leader, Now: clock.Now})
 	return nil
 }
 
--- a/entry/quota/quota.go
+++ b/entry/quota/quota.go
@@ -42,6 +42,8 @@
 	Settings  quota.Settings
 	Directory Directory
 	Leader    Leader
+	// Now is a clock that counts suspended time, so that no grant outlives a suspension.
+	Now func() time.Time
 }
 
 // Quota admits requests of every workspace.
@@ -59,6 +61,7 @@
 
 type (
 	account      = quota.Account[chan bool]
+	ticket       = quota.Ticket[chan bool]
 	accountTable = map[inventory.WorkspaceName]*account
 )
 
@@ -75,7 +78,7 @@
 // New returns a quota that draws with Run.
 func New(cfg Config) *Quota {
 	q := &Quota{cfg: cfg, wake: make(chan struct{}, 1)}
-	q.entry = quota.NewEntry[chan bool](cfg.Settings, cfg.Name, time.Now())
+	q.entry = quota.NewEntry[chan bool](cfg.Settings, cfg.Name, cfg.Now())
 	q.accounts.Store(&accountTable{})
 	return q
 }
@@ -87,7 +90,7 @@
 
 // Acquire admits one request, if need be after asking the leader; an error is an *Error.
 func (q *Quota) Acquire(ctx context.Context, workspace inventory.WorkspaceName) error {
-	now := time.Now()
+	now := q.cfg.Now()
 	a := (*q.accounts.Load())[workspace]
 	if a != nil && a.Admit(now) {
 		return nil
@@ -138,7 +141,7 @@
 			return nil
 		}
 	case <-ctx.Done():
-		if q.isSilent() && <-result {
+		if q.isUnheard(ticket) && <-result {
 			return nil
 		}
 		q.mu.Lock()
@@ -148,20 +151,21 @@
 	return &Error{Workspace: workspace}
 }
 
-// isSilent tells whether the leader may be gone, or has only just heard of this entry; whoever waits is settled soon then, out of
-// the floor share or as refused.
-func (q *Quota) isSilent() bool {
+// isUnheard tells whether a waiting request has had no word of the leader, which may be gone or has only just heard of this entry.
+//
+// It is settled soon then, out of the floor share or as refused.
+func (q *Quota) isUnheard(ticket *ticket) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	now := time.Now()
-	return q.entry.Silent(now) || now.Sub(q.answered) < q.cfg.Settings.CutOffAfter
+	now := q.cfg.Now()
+	return !ticket.Asked() || q.entry.Silent(now) || now.Sub(q.answered) < q.cfg.Settings.CutOffAfter
 }
 
 // Ready tells whether the leader has known this entry for long enough that its buckets are not empty for want of contact.
 func (q *Quota) Ready() bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return !q.answered.IsZero() && time.Since(q.answered) >= q.cfg.Settings.CutOffAfter
+	return !q.answered.IsZero() && q.cfg.Now().Sub(q.answered) >= q.cfg.Settings.CutOffAfter
 }
 
 // Run draws from the leader until the context ends.
@@ -175,7 +179,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-changed:
-			q.follow(time.Now())
+			q.follow(q.cfg.Now())
 		case <-q.wake:
 		case <-ticker.C:
 		}
@@ -210,7 +214,7 @@
 // round asks the leader for what is needed now, if anything is, and reports whether it got no failure.
 func (q *Quota) round(ctx context.Context) bool {
 	q.mu.Lock()
-	now := time.Now()
+	now := q.cfg.Now()
 	q.settle(q.entry.Expire(now))
 	round := q.entry.Draw(now)
 	q.mu.Unlock()
@@ -226,9 +230,9 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.answered.IsZero() {
-		q.answered = time.Now()
+		q.answered = q.cfg.Now()
 	}
-	q.settle(q.entry.Reply(round, &reply, time.Now()))
+	q.settle(q.entry.Reply(round, &reply, q.cfg.Now()))
 	return true
 }
 
--- a/entry/quota/quota_test.go
+++ b/entry/quota/quota_test.go
@@ -14,6 +14,7 @@
 
 	"lentilwind.dev/entry/internal/directory"
 	"lentilwind.dev/entry/quota"
+	"lentilwind.dev/instance/clock"
 )
 
 // localLeader answers draws in the same process.
@@ -43,11 +44,11 @@
 	t.Helper()
 	// The leader's bucket has had time to fill.
 	began := time.Now().Add(-time.Minute)
-	l := &localLeader{leader: decisions.NewLeader(decisions.DefaultSettings(), term, began)}
+	l := &localLeader{leader: decisions.NewLeader(decisions.DefaultSettings(), term, decisions.Reserves{}, began)}
 	l.leader.Configure(workspaces, []inventory.InstanceName{"entry-1"}, began)
 	d := directory.New()
 	d.Apply(&inventory.Delta{To: 1, Workspaces: inventory.Change[inventory.WorkspaceName, inventory.Workspace]{Set: workspaces}}, nil)
-	q := quota.New(quota.Config{Name: "entry-1", Settings: decisions.DefaultSettings(), Directory: d, Leader: l})
+	q := quota.New(quota.Config{Name: "entry-1", Settings: decisions.DefaultSettings(), Directory: d, Leader: l, Now: clock.Now})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- q.Run(ctx) }()
@@ -90,7 +91,7 @@
 	}
 }
 
-func TestSilentLeaderDelaysARequestNoLongerThanItsContext(t *testing.T) {
+func TestRequestIsRefusedWithoutTheLeadersWord(t *testing.T) {
 	q, l := newQuota(t, 1)
 	l.silent.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
--- a/lentilwind/protocol/draw.go
+++ b/lentilwind/protocol/draw.go
@@ -49,4 +49,6 @@
 	Stamp  LeaderStamp `cbor:"2,keyasint"`
 	// Shares is the number of entries among which the floors are divided.
 	Shares uint32 `cbor:"3,keyasint"`
+	// CutOff is the time without contact after which an entry uses its floor share.
+	CutOff time.Duration `cbor:"4,keyasint,omitempty"`
 }
--- a/lentilwind/quota/account.go
+++ b/lentilwind/quota/account.go
@@ -32,6 +32,9 @@
 	asks  int
 }
 
+// Asked tells whether the leader has answered for this request.
+func (t *Ticket[V]) Asked() bool { return t.asks > 0 }
+
 // Admit takes a token if one is at hand; it is safe for concurrent use and needs no lock.
 func (a *Account[V]) Admit(now time.Time) bool {
 	a.asked.Add(1)
--- a/lentilwind/quota/bucket.go
+++ b/lentilwind/quota/bucket.go
@@ -26,9 +26,9 @@
 	b.level = min(b.level, depth)
 }
 
-// take removes whole tokens, as many as there are up to a number.
-func (b *bucket) take(want uint32) uint32 {
-	taken := min(float64(want), float64(int64(b.level)))
+// take removes whole tokens, as many as there are above a level up to a number.
+func (b *bucket) take(want uint32, least float64) uint32 {
+	taken := min(float64(want), float64(int64(max(0, b.level-least))))
 	b.level -= taken
 	return uint32(taken)
 }
--- a/lentilwind/quota/entry.go
+++ b/lentilwind/quota/entry.go
@@ -82,10 +82,12 @@
 func (e *Entry[V]) Wait(a *Account[V], value V, now time.Time) (Decision, *Ticket[V]) {
 	a = e.kept(a)
 	if e.CutOff(now) {
-		if e.takeFloor(a, now) {
+		if len(a.waiting) == 0 && e.takeFloor(a, now) {
 			return Admitted, nil
 		}
-		return Refused, nil
+		if e.alone(now) && float64(len(a.waiting)) >= e.settings.Floor(a.limits, e.shares).Rate*e.settings.maxWait().Seconds() {
+			return Refused, nil
+		}
 	}
 	if len(a.waiting) >= maxWaiting {
 		return Refused, nil
@@ -118,6 +120,11 @@
 // CutOff tells whether the entry has been without contact for so long that it uses its floor share.
 func (e *Entry[V]) CutOff(now time.Time) bool { return now.Sub(e.lastContact) > e.settings.CutOffAfter }
 
+// alone tells whether the floor share is all that there has been for so long that no answer of a leader is to be expected soon.
+func (e *Entry[V]) alone(now time.Time) bool {
+	return now.Sub(e.lastContact) > e.settings.CutOffAfter+maxSilence
+}
+
 // Silent tells whether the leader has not answered for so long that it may be gone: waiting requests may soon be admitted out of
 // the floor share.
 func (e *Entry[V]) Silent(now time.Time) bool {
@@ -135,7 +142,7 @@
 	}
 	a.floor.depth, a.floor.rate = share.Burst, share.Rate*(1-MaxDrift)
 	a.floor.settle(now)
-	return a.floor.take(1) == 1
+	return a.floor.take(1, 0) == 1
 }
 
 // Draw returns the next request to the leader; nil while there is nothing to ask and the contact is fresh.
@@ -167,6 +174,9 @@
 	}
 	e.echoOf, e.echo = round.Request.Echo, reply.Stamp
 	e.shares = int(reply.Shares)
+	if reply.CutOff > 0 {
+		e.settings.CutOffAfter = reply.CutOff
+	}
 	if round.sent.After(e.lastContact) {
 		e.lastContact = round.sent
 	}
@@ -204,6 +214,7 @@
 func (e *Entry[V]) Expire(now time.Time) []Settled[V] {
 	var settled []Settled[V]
 	cutOff := e.CutOff(now)
+	alone := e.alone(now)
 	for _, a := range e.accounts {
 		left := a.waiting[:0]
 		for _, ticket := range a.waiting {
@@ -211,7 +222,7 @@
 			switch {
 			case a.tokens.Take(now) || cutOff && e.takeFloor(a, now):
 				settled = append(settled, Settled[V]{Value: ticket.Value, Admitted: true})
-			case waited >= e.settings.maxWait() && ticket.asks >= minAsks, waited >= maxSilence:
+			case waited >= e.settings.maxWait() && (alone || ticket.asks >= minAsks), waited >= maxSilence:
 				settled = append(settled, Settled[V]{Value: ticket.Value})
 			default:
 				left = append(left, ticket)
--- a/lentilwind/quota/fleet_test.go
+++ b/lentilwind/quota/fleet_test.go
@@ -14,6 +14,8 @@
 const (
 	step         = time.Millisecond
 	roundTimeout = 100 * time.Millisecond
+	// reservePeriod is the time between two looks at reserves.
+	reservePeriod = 20 * time.Millisecond
 )
 
 var origin = time.Unix(1_000_000, 0)
@@ -77,10 +79,21 @@
 	messages   []message
 	delay      func() time.Duration
 	requests   int
+	// held is what the journal holds, proposals what may come to it, in this order.
+	held      quota.Reserves
+	proposals []quota.Reserves
+	// reserving makes the leader keep reserves.
+	reserving bool
+	// headless is true while no leader answers.
+	headless bool
 }
 
 func newFleet(seed uint64, entries int, drift func() float64, workspaces ...*workspaceLoad) *fleet {
-	f := &fleet{rng: rand.New(rand.NewPCG(seed, 0)), settings: quota.DefaultSettings(), workspaces: workspaces}
+	return newFleetWith(quota.DefaultSettings(), seed, entries, drift, workspaces...)
+}
+
+func newFleetWith(settings quota.Settings, seed uint64, entries int, drift func() float64, workspaces ...*workspaceLoad) *fleet {
+	f := &fleet{rng: rand.New(rand.NewPCG(seed, 0)), settings: settings, workspaces: workspaces}
 	f.delay = func() time.Duration {
 		return 200*time.Microsecond + time.Duration(f.rng.Int64N(int64(800*time.Microsecond)))
 	}
@@ -100,9 +113,15 @@
 }
 
 // elect starts a new leader, whose clock keeps true time.
+//
+// Of the proposals that are under way some may still get into the journal, in their order.
 func (f *fleet) elect() {
 	f.term++
-	f.leader = quota.NewLeader(f.settings, f.term, origin.Add(f.now))
+	for _, r := range f.proposals[:f.rng.IntN(len(f.proposals)+1)] {
+		f.held = r
+	}
+	f.proposals = nil
+	f.leader = quota.NewLeader(f.settings, f.term, f.held, origin.Add(f.now))
 	var workspaces []inventory.Workspace
 	for _, w := range f.workspaces {
 		workspaces = append(workspaces, inventory.Workspace{Name: w.name, Rate: w.limits.Rate, Burst: w.limits.Burst})
@@ -110,6 +129,21 @@
 	f.leader.Configure(workspaces, f.names, origin.Add(f.now))
 }
 
+// reserve has the leader propose what it reserves, and the journal take proposals in.
+func (f *fleet) reserve() {
+	if !f.reserving || f.headless || f.now%reservePeriod != 0 {
+		return
+	}
+	now := origin.Add(f.now)
+	if len(f.proposals) > 0 && f.rng.IntN(2) == 0 {
+		f.held, f.proposals = f.proposals[0], f.proposals[1:]
+	}
+	f.leader.Journalled(f.held)
+	if r, ok := f.leader.Reserve(now); ok && f.rng.IntN(4) > 0 {
+		f.proposals = append(f.proposals, r)
+	}
+}
+
 func (f *fleet) after(delay time.Duration, call func()) {
 	f.messages = append(f.messages, message{at: f.now + delay, call: call})
 }
@@ -123,6 +157,7 @@
 			m.call()
 		}
 		load()
+		f.reserve()
 		for _, node := range f.entries {
 			f.tick(node)
 		}
@@ -144,7 +179,7 @@
 }
 
 func (f *fleet) send(node *entryNode, round *quota.Round[int]) {
-	if node.cut {
+	if node.cut || f.headless {
 		return
 	}
 	f.after(f.delay(), func() {
--- a/lentilwind/quota/leader.go
+++ b/lentilwind/quota/leader.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"maps"
 	"time"
 
 	"lentilwind.dev/lentilwind/inventory"
@@ -10,8 +11,9 @@
 // Leader holds the buckets of the active workspaces; it must be new for each term and must not begin before the leader of the
 // term before has lost its lease.
 //
-// Its buckets begin empty. Grants of the former leader that live on were made before the new bucket began, so the sum of both
-// over a window is at most what one bucket gives: the old one's size and inflow up to the change, then only inflow.
+// Its buckets begin with what the former leader has reserved for it, else empty. Grants of the former leader that live on were made
+// before the new bucket began, so the sum of both over a window is at most what one bucket gives: the old one's size less the
+// reserve and inflow up to the change, then the reserve and inflow.
 type Leader struct {
 	settings   Settings
 	term       uint64
@@ -23,6 +25,7 @@
 	refillFrom time.Time
 	configured time.Time
 	forgetAt   time.Time
+	reserves   reserves
 }
 
 // workspace has the limits of a workspace and those that the floor shares of cut-off entries may still rest on.
@@ -40,8 +43,8 @@
 // forgetEvery is the time between two looks for inactive workspaces.
 const forgetEvery = time.Second
 
-// NewLeader returns the leader of a term that begins now.
-func NewLeader(settings Settings, term uint64, now time.Time) *Leader {
+// NewLeader returns the leader of a term that begins now, with the reserves that the journal holds.
+func NewLeader(settings Settings, term uint64, held Reserves, now time.Time) *Leader {
 	return &Leader{
 		settings:   settings,
 		term:       term,
@@ -50,6 +53,7 @@
 		workspaces: make(map[inventory.WorkspaceName]*workspace),
 		buckets:    make(map[inventory.WorkspaceName]*account),
 		contacts:   newContacts(settings.CutOffAfter / 2),
+		reserves:   reserves{journalled: held.Tokens, carried: maps.Clone(held.Tokens), carriedUntil: now.Add(carryTime)},
 	}
 }
 
@@ -58,6 +62,11 @@
 // An instance should leave the inventory only when it has stopped: its floor is not set aside any longer.
 func (l *Leader) Configure(workspaces []inventory.Workspace, entries []inventory.InstanceName, now time.Time) {
 	l.advance(now)
+	if l.configured.IsZero() {
+		// Entries learn the time from the leader of the term, so it must not change during one.
+		l.settings = l.settings.sized(len(entries))
+		l.contacts.within = l.settings.CutOffAfter / 2
+	}
 	l.configured = now
 	l.contacts.list(entries, now)
 	old := l.workspaces
@@ -74,13 +83,17 @@
 	l.reshapeAll(now)
 }
 
-// Draw answers a request; what it grants for need goes first, and what is ahead of need leaves half of the bucket.
+// aheadShare is the part of a bucket that grants ahead of need leave for others and for reserves.
+const aheadShare = 0.7
+
+// Draw answers a request; what it grants for need goes first, and what is ahead of need leaves a part of the bucket.
 func (l *Leader) Draw(request *protocol.DrawRequest, now time.Time) protocol.DrawReply {
 	l.advance(now)
 	l.contact(request, now)
 	reply := protocol.DrawReply{
 		Stamp:  protocol.LeaderStamp{Term: l.term, Time: now.Sub(l.began)},
 		Shares: uint32(l.contacts.len()),
+		CutOff: l.settings.CutOffAfter,
 		Grants: make([]protocol.Grant, 0, len(request.Draws)),
 	}
 	for _, draw := range request.Draws {
@@ -98,13 +111,13 @@
 	a := l.account(draw.Workspace, w, now)
 	need := min(draw.Need, draw.Want)
 	grant.Lifetime = a.lifetime
-	grant.Granted = a.take(need)
+	grant.Granted = l.take(draw.Workspace, a, need, now)
 	if grant.Granted < need {
 		grant.RetryAfter = a.until(1)
 		return grant
 	}
-	if spare := a.level - a.depth/2; spare >= 1 {
-		grant.Granted += a.take(min(draw.Want-need, uint32(spare)))
+	if spare := a.level - aheadShare*a.depth; spare >= 1 {
+		grant.Granted += l.take(draw.Workspace, a, min(draw.Want-need, uint32(spare)), now)
 	}
 	return grant
 }
@@ -151,6 +164,7 @@
 		l.contacts.aside += expiry.fraction
 		l.reshapeAll(expiry.at)
 	}
+	l.mergeCarried(now)
 	if now.Before(l.forgetAt) {
 		return
 	}
--- a/lentilwind/quota/quota_test.go
+++ b/lentilwind/quota/quota_test.go
@@ -94,7 +94,9 @@
 		limits := rapid.SampledFrom([]quota.Limits{{Rate: 100, Burst: 100}, {Rate: 10, Burst: 1}, {Rate: 200, Burst: 30}, {Rate: 50, Burst: 7.5}, {Rate: 10, Burst: 90}})
 		l := limits.Draw(t, "limits")
 		w := newLoad("w", l.Rate, l.Burst)
-		f := newFleet(rapid.Uint64().Draw(t, "seed"), 3, drift, w)
+		settings := rapid.SampledFrom([]quota.Settings{quota.DefaultSettings(), quota.QuickSettings()}).Draw(t, "settings")
+		f := newFleetWith(settings, rapid.Uint64().Draw(t, "seed"), 3, drift, w)
+		f.reserving = rapid.Bool().Draw(t, "reserving")
 		slow := false
 		f.delay = func() time.Duration {
 			if slow && f.rng.IntN(3) == 0 {
@@ -161,6 +163,39 @@
 	}
 }
 
+// While a leader is replaced, the worst-served workspace must get 0.95 of what it asks for inside its rate, if need be after a wait.
+func TestNewLeaderBeginsWithWhatWasReserved(t *testing.T) {
+	for seed := range uint64(20) {
+		w := newLoad("w", 200, 200)
+		f := newFleetWith(quota.QuickSettings(), seed, 8, noDrift, w)
+		f.reserving = true
+		weights := []float64{1, 1, 1, 1, 1, 2, 2, 3}
+		load := func() {
+			for n := poisson(f, 0.55*w.limits.Rate*step.Seconds()); n > 0; n-- {
+				f.request(0, pick(f, weights))
+			}
+		}
+		f.run(3*time.Second, load)
+		sent, refused := w.sent, w.refused
+		// Three of the entries stay behind a partition with the old leader; their callers go to the others.
+		for i, node := range f.entries[:3] {
+			node.cut, weights[i] = true, 0
+		}
+		f.headless = true
+		f.run(3450*time.Millisecond, load)
+		f.headless = false
+		f.elect()
+		f.run(4*time.Second, load)
+		sent, refused = w.sent-sent, w.refused-refused
+		if refused > sent/20 {
+			t.Errorf("seed %d: %d of %d requests were refused while a leader was replaced", seed, refused, sent)
+		}
+		if w.worst > 1e-6 {
+			t.Errorf("seed %d: some window has %.3f requests too many", seed, w.worst)
+		}
+	}
+}
+
 func TestInactiveWorkspacesAreForgotten(t *testing.T) {
 	f := newFleet(1, 2, noDrift, newLoad("w", 100, 100))
 	f.request(0, 0)
@@ -189,7 +224,7 @@
 // A leader that has set every floor share aside has nothing to give, but only until the entries have proven their contact.
 func TestEmptyLeaderDoesNotSilenceEntries(t *testing.T) {
 	start := time.Unix(1000, 0)
-	leader := quota.NewLeader(quota.QuickSettings(), 2, start)
+	leader := quota.NewLeader(quota.QuickSettings(), 2, quota.Reserves{}, start)
 	leader.Configure(
 		[]inventory.Workspace{{Name: "orders", Rate: 10, Burst: 10}}, []inventory.InstanceName{"entry-1", "entry-2"}, start,
 	)
--- a/lentilwind/quota/settings.go
+++ b/lentilwind/quota/settings.go
@@ -10,6 +10,9 @@
 	// CutOffAfter is the time without contact after which an entry uses its floor share; the leader sets the share aside from
 	// half of that time on.
 	CutOffAfter time.Duration
+	// CutOffPerEntry raises CutOffAfter to this much for each entry, so that the leader of a large fleet is asked no more often
+	// for it.
+	CutOffPerEntry time.Duration
 	// FloorFraction is the part of each workspace's quota that is divided into floor shares.
 	FloorFraction float64
 }
@@ -25,11 +28,11 @@
 }
 
 // QuickSettings returns the settings of a fleet that must go on at nearly its whole rate while control elects a leader: entries
-// fall back to their floor shares after a time in which a draw could have been lost and repeated, and the shares make up all of
-// the quota.
+// fall back to their floor shares after twice the life of a grant, and the shares make up all of the quota.
 func QuickSettings() Settings {
 	s := DefaultSettings()
-	s.CutOffAfter = 400 * time.Millisecond
+	s.CutOffAfter = 240 * time.Millisecond
+	s.CutOffPerEntry = 5 * time.Millisecond
 	s.FloorFraction = 1
 	return s
 }
@@ -51,6 +54,12 @@
 // maxWait is the longest that a request waits for a token: what the buckets lack for grants in flight flows in meanwhile.
 func (s Settings) maxWait() time.Duration { return s.MaxLifetime + s.MinLifetime }
 
+// sized returns the settings for a fleet of a number of entries.
+func (s Settings) sized(entries int) Settings {
+	s.CutOffAfter = max(s.CutOffAfter, time.Duration(entries)*s.CutOffPerEntry)
+	return s
+}
+
 // contactEvery is the longest time between two requests of an entry to the leader.
 func (s Settings) contactEvery() time.Duration { return s.CutOffAfter / 8 }
 
