Floor shares of the quota follow data centres and demand in large fleets

Change: in fleets of more than 16 entries each data centre has the same part of each workspace's floors, and its entries share it by demand; the leader tells each entry its shares and counts what may still be held until it is acknowledged. A new leader assumes that entries which it has not met hold all of their data centre's part. Shares end 6 s after the last contact. Entries prove their contact to a new leader without a pause, and do not refuse on the word of a leader that they have known for less than 120 ms.

--- a/control/coordinator/leadership.go
+++ b/control/coordinator/leadership.go
@@ -42,7 +42,7 @@
 	roster  *roster
 	quota   *quota.Leader
 	version policy.Version
-	listed  []inventory.InstanceName
+	listed  []quota.Member
 	entries map[inventory.InstanceName]contact
 	// live are the entries that the newest roster names.
 	live    []fleet.Entry
@@ -82,7 +82,8 @@
 // configure gives the quota the newest workspaces and entries.
 func (l *leadership) configure() {
 	current := l.c.policy.Load()
-	listed := l.c.state.Load().Entries
+	recorded := l.c.state.Load()
+	listed := recorded.Entries
 	if current == nil || current.Version == l.version && slices.Equal(listed, l.listed) {
 		return
 	}
@@ -91,7 +92,7 @@
 	for _, w := range current.List {
 		workspaces = append(workspaces, inventory.Workspace{Name: w.Name, Rate: w.Rate, Burst: w.Burst})
 	}
-	l.quota.Configure(workspaces, listed, l.c.cfg.Now())
+	l.quota.Configure(workspaces, listed, recorded.Parts, l.c.cfg.Now())
 }
 
 // run does what a leader does by itself.
@@ -134,25 +135,25 @@
 }
 
 // wantedEntries returns the entries that should be recorded, nil if the record is right.
-func (l *leadership) wantedEntries(now time.Time) []inventory.InstanceName {
+func (l *leadership) wantedEntries(now time.Time) []quota.Member {
 	recorded := l.c.state.Load().Entries
-	var wanted []inventory.InstanceName
-	for _, name := range recorded {
-		e, found := l.entries[name]
+	var wanted []quota.Member
+	for _, member := range recorded {
+		e, found := l.entries[member.Name]
 		silent := now.Sub(e.heard)
 		if !found {
 			silent = now.Sub(l.roster.began)
 		}
 		if silent < entryForgotten {
-			wanted = append(wanted, name)
+			wanted = append(wanted, member)
 		}
 	}
-	for name := range l.entries {
-		if !slices.Contains(wanted, name) {
-			wanted = append(wanted, name)
+	for name, e := range l.entries {
+		if !slices.ContainsFunc(wanted, func(m quota.Member) bool { return m.Name == name }) {
+			wanted = append(wanted, quota.Member{Name: name, DataCentre: e.entry.DataCentre})
 		}
 	}
-	slices.Sort(wanted)
+	slices.SortFunc(wanted, func(a, b quota.Member) int { return cmp.Compare(a.Name, b.Name) })
 	if len(wanted) == 0 || slices.Equal(wanted, recorded) {
 		return nil
 	}
--- a/control/internal/quota/service.go
+++ b/control/internal/quota/service.go
@@ -81,9 +81,11 @@
 	}
 	s.revision = state.Revision()
 	inv := state.Inventory()
-	entries := make([]inventory.InstanceName, len(inv.Instances))
+	entries := make([]quota.Member, len(inv.Instances))
+	centres := make(map[inventory.DataCentre]bool)
 	for i, instance := range inv.Instances {
-		entries[i] = instance.Name
+		entries[i] = quota.Member{Name: instance.Name, DataCentre: instance.DataCentre}
+		centres[instance.DataCentre] = true
 	}
-	s.leader.Configure(inv.Workspaces, entries, now)
+	s.leader.Configure(inv.Workspaces, entries, len(centres), now)
 }
--- a/entry/quota/quota.go
+++ b/entry/quota/quota.go
@@ -158,7 +158,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.cfg.Now()
-	return !ticket.Asked() || q.entry.Silent(now) || now.Sub(q.answered) < q.cfg.Settings.CutOffAfter
+	return !ticket.Asked() || q.entry.Unsure(now) || now.Sub(q.answered) < q.cfg.Settings.CutOffAfter
 }
 
 // Ready tells whether the leader has known this entry for long enough that its buckets are not empty for want of contact.
--- a/lentilwind/quota/entry.go
+++ b/lentilwind/quota/entry.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"time"
 
 	"lentilwind.dev/lentilwind/inventory"
@@ -17,8 +18,11 @@
 	lastSent    time.Time
 	echo        protocol.LeaderStamp
 	echoOf      protocol.LeaderStamp
-	// shares is the number of entries that the floors are divided among; 0 before the first contact.
-	shares int
+	// floors are the fractions of the workspaces' limits that may be used without a leader.
+	floors map[inventory.WorkspaceName]float64
+	// answers counts the replies of the present term, the first of which came at met.
+	answers int
+	met     time.Time
 }
 
 // Round is one request to the leader that is under way.
@@ -52,6 +56,8 @@
 	maxWaiting = 1024
 	// minAsks is how often the leader is asked for a request before it is refused.
 	minAsks = 2
+	// provingAnswers is how many answers of a leader an entry needs to prove its contact; until then it asks without a pause.
+	provingAnswers = 3
 	// minPause is the least time between asking for a workspace that has nothing left.
 	minPause = 10 * time.Millisecond
 )
@@ -62,6 +68,7 @@
 		settings:    settings,
 		name:        name,
 		accounts:    make(map[inventory.WorkspaceName]*Account[V]),
+		floors:      make(map[inventory.WorkspaceName]float64),
 		lastContact: now,
 	}
 }
@@ -85,7 +92,7 @@
 		if len(a.waiting) == 0 && e.takeFloor(a, now) {
 			return Admitted, nil
 		}
-		if e.alone(now) && float64(len(a.waiting)) >= e.settings.Floor(a.limits, e.shares).Rate*e.settings.maxWait().Seconds() {
+		if e.alone(now) && float64(len(a.waiting)) >= e.floor(a).Rate*e.settings.maxWait().Seconds() {
 			return Refused, nil
 		}
 	}
@@ -125,17 +132,36 @@
 	return now.Sub(e.lastContact) > e.settings.CutOffAfter+maxSilence
 }
 
-// Silent tells whether the leader has not answered for so long that it may be gone: waiting requests may soon be admitted out of
-// the floor share.
-func (e *Entry[V]) Silent(now time.Time) bool {
-	return now.Sub(e.lastContact) > e.settings.CutOffAfter/3
+// Unsure tells whether a refusal would be premature: the leader has not answered for so long that it may be gone, or is so new that
+// it does not grant all that it has yet.
+func (e *Entry[V]) Unsure(now time.Time) bool {
+	return now.Sub(e.lastContact) > e.settings.CutOffAfter/3 || e.meeting(now)
+}
+
+// meeting tells whether the leader of the present term is new to this entry.
+func (e *Entry[V]) meeting(now time.Time) bool {
+	return e.answers > 0 && now.Sub(e.met) < e.settings.maxWait()
+}
+
+// outlived tells whether the floor shares have ended.
+func (e *Entry[V]) outlived(now time.Time) bool {
+	return e.settings.FloorLife > 0 && now.Sub(e.lastContact) > e.settings.FloorLife
+}
+
+// floor returns the limits of a workspace's floor share.
+func (e *Entry[V]) floor(a *Account[V]) Limits {
+	fraction := e.floors[a.workspace]
+	return Limits{Rate: a.limits.Rate * fraction, Burst: a.limits.Burst * fraction}
 }
 
 // takeFloor takes a token out of the floor share, which begins empty when the entry becomes cut off.
 //
 // Its rate is less than the share by the most that the entry's clock may run fast.
 func (e *Entry[V]) takeFloor(a *Account[V], now time.Time) bool {
-	share := e.settings.Floor(a.limits, e.shares)
+	if e.outlived(now) {
+		return false
+	}
+	share := e.floor(a)
 	begin := e.lastContact.Add(e.settings.CutOffAfter)
 	if a.floor.settled.Before(begin) {
 		a.floor = bucket{settled: begin}
@@ -160,7 +186,7 @@
 			round.tickets = append(round.tickets, append([]*Ticket[V](nil), a.waiting[:draw.Need]...))
 		}
 	}
-	if len(round.Request.Draws) == 0 && now.Sub(e.lastSent) < e.settings.contactEvery() {
+	if len(round.Request.Draws) == 0 && e.answers >= provingAnswers && now.Sub(e.lastSent) < e.settings.contactEvery() {
 		return nil
 	}
 	e.lastSent = now
@@ -172,8 +198,18 @@
 	if len(reply.Grants) != len(round.Request.Draws) {
 		return nil
 	}
+	if reply.Stamp.Term != e.echo.Term || e.outlived(now) {
+		// What was told by a former leader, or too long ago, is not in force any longer.
+		clear(e.floors)
+	}
+	if reply.Stamp.Term != e.echo.Term {
+		e.answers, e.met = 0, now
+	}
+	e.answers++
+	for _, floor := range reply.Floors {
+		e.floors[floor.Workspace] = floor.Fraction
+	}
 	e.echoOf, e.echo = round.Request.Echo, reply.Stamp
-	e.shares = int(reply.Shares)
 	if reply.CutOff > 0 {
 		e.settings.CutOffAfter = reply.CutOff
 	}
@@ -214,7 +250,11 @@
 func (e *Entry[V]) Expire(now time.Time) []Settled[V] {
 	var settled []Settled[V]
 	cutOff := e.CutOff(now)
-	alone := e.alone(now)
+	final := e.alone(now)
+	asks := minAsks
+	if e.meeting(now) {
+		asks = math.MaxInt
+	}
 	for _, a := range e.accounts {
 		left := a.waiting[:0]
 		for _, ticket := range a.waiting {
@@ -222,7 +262,7 @@
 			switch {
 			case a.tokens.Take(now) || cutOff && e.takeFloor(a, now):
 				settled = append(settled, Settled[V]{Value: ticket.Value, Admitted: true})
-			case waited >= e.settings.maxWait() && (alone || ticket.asks >= minAsks), waited >= maxSilence:
+			case waited >= e.settings.maxWait() && (final || ticket.asks >= asks), waited >= maxSilence:
 				settled = append(settled, Settled[V]{Value: ticket.Value})
 			default:
 				left = append(left, ticket)
--- a/lentilwind/quota/reserve.go
+++ b/lentilwind/quota/reserve.go
@@ -86,7 +86,7 @@
 
 // wantedReserve returns the reserve that suits a bucket as it is now.
 func (l *Leader) wantedReserve(name inventory.WorkspaceName, w *workspace, now time.Time) float64 {
-	if l.contacts.aside > maxAside {
+	if l.asideOf(name) > maxAside {
 		return 0
 	}
 	a := l.account(name, w, now)
