--- a/control/coordinator/members.go
+++ b/control/coordinator/members.go
@@ -191,11 +191,12 @@
 			c.cfg.Log.Debug().Err(err).Msg("memberChangeRefused")
 			return nil
 		}
-		event := c.cfg.Log.Info().Uint64("term", uint64(c.machine.Term()))
+		var added journal.Member
 		if change.Add != nil {
-			event = event.Str("add", change.Add.Address).Uint64("replaces", uint64(change.Add.Replaces))
+			added = *change.Add
 		}
-		event.Uint64("remove", uint64(change.Remove)).Msg("membersChanged")
+		c.cfg.Log.Info().Uint64("term", uint64(c.machine.Term())).Str("add", added.Address).Uint64("replaces", uint64(added.Replaces)).
+			Uint64("remove", uint64(change.Remove)).Msg("membersChanged")
 		return effects
 	})
 	if err != nil {
--- a/entry/proxy/record.go
+++ b/entry/proxy/record.go
@@ -1,9 +1,12 @@
 package proxy
 
 import (
+	"errors"
 	"sync"
 	"time"
 
+	admission "lentilwind.dev/entry/quota"
+	"lentilwind.dev/lentilwind/group"
 	"lentilwind.dev/lentilwind/policy"
 	"lentilwind.dev/lentilwind/statement"
 )
@@ -62,8 +65,8 @@
 	return true, folded
 }
 
-// logRefusal records an operation that was refused before it was offered to a database.
-func (s *session) logRefusal(id statement.ID, reason string, answer statement.Answer) {
+// logRefusal records an operation that was refused before it was offered to a database; cause may be nil.
+func (s *session) logRefusal(id statement.ID, reason string, answer statement.Answer, cause error) {
 	p := s.proxy
 	now := p.cfg.Now()
 	p.counters.mu.Lock()
@@ -80,18 +83,34 @@
 	if current := p.Policy(); current != nil {
 		version = uint64(current.Version)
 	}
+	var over admission.Error
+	if found := (*admission.Error)(nil); errors.As(cause, &found) {
+		over = *found
+	}
 	p.cfg.Log.Info().Str("request", string(id)).Str("database", string(s.database)).Str("workspace", string(s.workspace)).
 		Str("reason", reason).Str("outcome", string(answer.Outcome)).Str("detail", answer.Detail).Uint64("version", version).
+		Int64("waitedMs", over.Waited.Milliseconds()).Int64("contactAgeMs", over.Contact.Milliseconds()).
 		Int64("leaseLeftMs", p.leaseUntil.Load().Sub(now).Milliseconds()).Uint64("folded", folded).Msg("requestRefused")
 }
 
+// operation is what the log tells of an operation that was offered to databases.
+type operation struct {
+	id     statement.ID
+	route  *policy.Route
+	began  time.Time
+	offers int
+	// floor is the position that a replica needed for its last offer.
+	floor group.Floor
+}
+
 // finished records the end of an operation that was offered to databases.
-func (p *Proxy) finished(s *session, id statement.ID, route *policy.Route, answer statement.Answer, began time.Time, offers int) {
+func (s *session) finished(o operation, answer statement.Answer) {
+	p := s.proxy
 	now := p.cfg.Now()
-	took := now.Sub(began)
+	took := now.Sub(o.began)
 	done := answer.Outcome == statement.Done
 	p.counters.mu.Lock()
-	p.counters.count(route.Consistency, answer.Outcome, took)
+	p.counters.count(o.route.Consistency, answer.Outcome, took)
 	var log bool
 	var folded uint64
 	if done {
@@ -106,7 +125,7 @@
 	}
 	age := time.Duration(0)
 	primary := ""
-	if c := p.cluster(route.Service); c != nil {
+	if c := p.cluster(o.route.Service); c != nil {
 		age = c.proofAge(now)
 		c.mu.Lock()
 		primary = string(c.primary)
@@ -116,10 +135,12 @@
 	if done {
 		event = "requestServed"
 	}
-	p.cfg.Log.Info().Str("request", string(id)).Str("database", string(s.database)).Str("workspace", string(s.workspace)).
-		Str("consistency", string(route.Consistency)).Str("outcome", string(answer.Outcome)).Str("detail", answer.Detail).
-		Int64("tookMs", took.Milliseconds()).Int("offers", offers).Str("primary", primary).Int64("proofAgeMs", age.Milliseconds()).
-		Uint64("version", uint64(p.Policy().Version)).Int64("leaseLeftMs", p.leaseUntil.Load().Sub(now).Milliseconds()).Uint64("folded", folded).Msg(event)
+	p.cfg.Log.Info().Str("request", string(o.id)).Str("database", string(s.database)).Str("service", string(o.route.Service)).
+		Str("workspace", string(s.workspace)).Str("consistency", string(o.route.Consistency)).Str("outcome", string(answer.Outcome)).
+		Str("detail", answer.Detail).Int64("tookMs", took.Milliseconds()).Int("offers", o.offers).Str("primary", primary).
+		Uint64("floorTerm", uint64(o.floor.Term)).Uint64("floorNumber", uint64(o.floor.Position)).Int64("proofAgeMs", age.Milliseconds()).
+		Uint64("version", uint64(p.Policy().Version)).Int64("leaseLeftMs", p.leaseUntil.Load().Sub(now).Milliseconds()).
+		Uint64("folded", folded).Msg(event)
 }
 
 func (c *counters) count(consistency policy.Consistency, outcome statement.Outcome, took time.Duration) {
--- a/entry/proxy/request.go
+++ b/entry/proxy/request.go
@@ -53,7 +53,7 @@
 	default:
 		answer = r.readStale()
 	}
-	r.session.proxy.finished(r.session, r.what.ID, r.route, answer, r.began, r.offers)
+	r.session.finished(operation{id: r.what.ID, route: r.route, began: r.began, offers: r.offers, floor: r.least}, answer)
 	return answer
 }
 
--- a/entry/proxy/session.go
+++ b/entry/proxy/session.go
@@ -65,7 +65,7 @@
 	s.database, s.key = database, key
 	answer := statement.Accept(statement.Idle)
 	if _, refusal, ok := s.authorize(); !ok {
-		s.logRefusal("", "start", refusal)
+		s.logRefusal("", "start", refusal, nil)
 		answer = refusal
 	}
 	return s.caller.Answer(answer) == nil && answer.Outcome == statement.Done
@@ -156,7 +156,7 @@
 func (s *session) admit(id statement.ID) (*policy.Route, statement.Answer, bool) {
 	route, refusal, ok := s.authorize()
 	if !ok {
-		s.logRefusal(id, "authorize", refusal)
+		s.logRefusal(id, "authorize", refusal, nil)
 		return nil, refusal, false
 	}
 	if s.workspace == "" || s.unlimited {
@@ -166,7 +166,7 @@
 	defer cancel()
 	if err := s.proxy.cfg.Admission.Acquire(ctx, s.workspace); err != nil {
 		refusal = statement.Refuse(statement.Overloaded, "the workspace is over its rate; retry after 1 s", statement.Idle)
-		s.logRefusal(id, "quota", refusal)
+		s.logRefusal(id, "quota", refusal, err)
 		return nil, refusal, false
 	}
 	return route, statement.Answer{}, true
--- a/entry/proxy/transaction.go
+++ b/entry/proxy/transaction.go
@@ -63,12 +63,21 @@
 	return statement.Accept(statement.InTransaction)
 }
 
-// runInTransaction answers a read or write inside the open transaction.
+// runInTransaction answers a read or write inside the open transaction; the one that fails it is recorded for the whole.
 func (s *session) runInTransaction(what resolved) statement.Answer {
 	tx := s.tx
 	if tx.failed {
 		return statement.Refuse(statement.Malformed, "the transaction has failed; roll it back", statement.Failed)
 	}
+	answer := s.tryInTransaction(what)
+	if tx.failed {
+		s.finished(operation{id: what.ID, route: tx.route, began: tx.began, offers: tx.offers}, answer)
+	}
+	return answer
+}
+
+func (s *session) tryInTransaction(what resolved) statement.Answer {
+	tx := s.tx
 	tx.offers++
 	sent := s.proxy.cfg.Now()
 	result, refusal, ok := s.inTransaction(what, false)
@@ -88,7 +97,7 @@
 	if answer.State == statement.Idle {
 		// The database has ended the transaction by itself; the caller still has to.
 		s.lose()
-		answer.State = statement.Failed
+		answer.State, tx.failed = statement.Failed, true
 	}
 	return answer
 }
@@ -127,7 +136,9 @@
 		answer = s.commit(st)
 	}
 	s.tx = nil
-	s.proxy.finished(s, st.ID, tx.route, answer, tx.began, tx.offers)
+	if !tx.failed {
+		s.finished(operation{id: st.ID, route: tx.route, began: tx.began, offers: tx.offers}, answer)
+	}
 	return answer
 }
 
--- a/entry/quota/quota.go
+++ b/entry/quota/quota.go
@@ -68,6 +68,8 @@
 // Error is the refusal of a request; it was not run.
 type Error struct {
 	Workspace inventory.WorkspaceName
+	// Waited is how long the request has waited, and Contact the age of the last contact with the leader at its end.
+	Waited, Contact time.Duration
 }
 
 // Error formats the refusal.
@@ -129,7 +131,7 @@
 	case quota.Admitted:
 		return nil
 	case quota.Refused:
-		return &Error{Workspace: workspace}
+		return q.refuse(workspace, now)
 	}
 	select {
 	case q.wake <- struct{}{}:
@@ -148,7 +150,15 @@
 		q.entry.Cancel(a, ticket)
 		q.mu.Unlock()
 	}
-	return &Error{Workspace: workspace}
+	return q.refuse(workspace, now)
+}
+
+// refuse returns the refusal of a request that came at a time.
+func (q *Quota) refuse(workspace inventory.WorkspaceName, came time.Time) error {
+	now := q.cfg.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return &Error{Workspace: workspace, Waited: now.Sub(came), Contact: now.Sub(q.entry.LastContact())}
 }
 
 // isUnheard tells whether a waiting request has had no word of the leader, which may be gone or has only just heard of this entry.
--- a/instance/events/events.go
+++ b/instance/events/events.go
@@ -50,7 +50,8 @@
 	Time     time.Time `json:"time"`
 	Instance string    `json:"instance"`
 	Kind     Kind      `json:"kind"`
-	// Workspace, Service, Slot, Server, Session, Revision and Term are what the time line filters by.
+	// Request, Workspace, Service, Slot, Server, Session, Revision and Term are what the time line filters by.
+	Request   string  `json:"request,omitempty"`
 	Workspace string  `json:"workspace,omitempty"`
 	Service   string  `json:"service,omitempty"`
 	Slot      *uint16 `json:"slot,omitempty"`
--- a/lentilctl/internal/command/timeline.go
+++ b/lentilctl/internal/command/timeline.go
@@ -17,11 +17,15 @@
 	var htmlPath string
 	cmd := &cobra.Command{
 		Use:   "timeline FILE|DIR ...",
-		Short: "Merge the events of many processes into one ordered story",
-		Long: `Merge the events of many processes into one ordered story.
+		Short: "Merge the events or logs of many processes into one ordered story",
+		Long: `Merge the events or logs of many processes into one ordered story.
 
-Each FILE is the events file of one process; of a DIR every file below it that ends in .events.jsonl is taken. Causes stand
-before their effects also when the clocks of the instances differ.`,
+Each FILE holds events or log lines of one or more processes; of a DIR every file below it that ends in .events.jsonl is taken. Events
+stand behind their causes also when the clocks of the instances differ; log lines are ordered by their wall clocks.
+
+One request:        lentilctl timeline --request ID --around 2s LOG ...
+One promotion:      lentilctl timeline --service NAME --kind promotionOrdered,primaryDemoted,promotionEnded,serverAnnounced LOG ...
+One configuration:  lentilctl timeline --revision N --kind documentAccepted,documentApplied,policyApplied LOG ...`,
 		RunE: func(_ *cobra.Command, args []string) error {
 			paths, err := eventFiles(args)
 			if err != nil {
@@ -42,7 +46,10 @@
 	flags.StringVar(&filter.Service, "service", "", "only events of this service")
 	flags.StringVar(&filter.Server, "server", "", "only events of this backend server")
 	flags.StringVar(&filter.Session, "session", "", "only events of this session")
-	flags.Uint64Var(&filter.Revision, "revision", 0, "only events of this inventory revision")
+	flags.Uint64Var(&filter.Revision, "revision", 0, "only events of this inventory revision or configuration version")
+	flags.StringVar(&filter.Request, "request", "", "only events of the request with this id")
+	flags.Uint64Var(&filter.Term, "term", 0, "only events of this term")
+	flags.DurationVar(&filter.Around, "around", 0, "add events of the fleet itself within this time of the selected ones")
 	flags.StringSliceVar(&filter.Kinds, "kind", nil, "only events of these kinds")
 	flags.StringVar(&htmlPath, "html", "", "write a self-contained page instead of text")
 	return cmd
--- a/lentilctl/internal/timeline/merge.go
+++ b/lentilctl/internal/timeline/merge.go
@@ -2,12 +2,12 @@
 
 import (
 	"bufio"
-	"cmp"
-	"encoding/json"
+	"bytes"
 	"fmt"
 	"io"
 	"os"
 	"slices"
+	"time"
 
 	"lentilwind.dev/instance/events"
 )
@@ -21,7 +21,11 @@
 	Server    string
 	Session   string
 	Revision  uint64
+	Request   string
+	Term      uint64
 	Kinds     []string
+	// Around adds events of the fleet itself, such as changes of leader, that happened within this time of a selected one.
+	Around time.Duration
 }
 
 // Matches tells whether the filter selects an event.
@@ -30,7 +34,9 @@
 		matches(f.Service, e.Service) &&
 		matches(f.Server, e.Server) &&
 		matches(f.Session, e.Session) &&
+		matches(f.Request, e.Request) &&
 		(f.Revision == 0 || f.Revision == e.Revision) &&
+		(f.Term == 0 || f.Term == e.Term) &&
 		(len(f.Kinds) == 0 || slices.Contains(f.Kinds, string(e.Kind)))
 }
 
@@ -43,46 +49,41 @@
 	Unreadable int `json:"unreadable"`
 }
 
-// ReadFiles merges event files; the order follows the hybrid clock, so no effect stands before its cause.
+// ReadFiles merges files of events and of logs; events are in the order of their hybrid clocks, log lines of their wall clocks.
 func ReadFiles(paths []string, filter Filter) (*Story, error) {
 	story := &Story{}
 	for _, path := range paths {
-		if err := story.readFile(path, filter); err != nil {
+		if err := story.readFile(path); err != nil {
 			return nil, err
 		}
 	}
-	slices.SortStableFunc(story.Events, func(a, b events.Event) int {
-		return cmp.Or(cmp.Compare(a.Clock, b.Clock), cmp.Compare(a.Instance, b.Instance))
-	})
+	story.Events = withContext(story.Events, filter)
+	slices.SortStableFunc(story.Events, order)
 	return story, nil
 }
 
-func (s *Story) readFile(path string, filter Filter) error {
+func (s *Story) readFile(path string) error {
 	file, err := os.Open(path)
 	if err != nil {
 		return fmt.Errorf("timeline: %w", err)
 	}
 	defer func() { _ = file.Close() }()
-	if err := s.read(file, filter); err != nil {
+	if err := s.read(file); err != nil {
 		return fmt.Errorf("timeline: %s: %w", path, err)
 	}
 	return nil
 }
 
-func (s *Story) read(r io.Reader, filter Filter) error {
+func (s *Story) read(r io.Reader) error {
 	scanner := bufio.NewScanner(r)
 	scanner.Buffer(nil, maxLineBytes)
 	for scanner.Scan() {
-		if len(scanner.Bytes()) == 0 {
-			continue
-		}
-		var event events.Event
-		if err := json.Unmarshal(scanner.Bytes(), &event); err != nil || event.Clock == 0 {
-			s.Unreadable++
-			continue
-		}
-		if filter.Matches(event) {
+		event, ok := parse(scanner.Bytes())
+		switch {
+		case ok:
 			s.Events = append(s.Events, event)
+		case bytes.IndexByte(scanner.Bytes(), '{') >= 0:
+			s.Unreadable++
 		}
 	}
 	return scanner.Err()
--- a/lentilctl/internal/timeline/merge_test.go
+++ b/lentilctl/internal/timeline/merge_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"lentilwind.dev/instance/events"
 	"lentilwind.dev/lentilctl/internal/timeline"
 	"lentilwind.dev/lentilwind/hlc"
@@ -47,3 +49,34 @@
 		t.Errorf("got %+v", story)
 	}
 }
+
+const logText = `starting up
+  33.9 entry-1 {"time":"2026-07-11T17:46:05.9Z","level":"info","instance":"entry-1","request":"a1","workspace":"w","reason":"quota","outcome":"overloaded","version":4,"message":"requestRefused"}
+{"time":"2026-07-11T17:46:05.5Z","level":"info","instance":"control-2","term":3,"leader":"control-2","self":true,"message":"leaderChanged"}
+{"time":"2026-07-11T17:46:01.5Z","level":"info","instance":"control-1","term":2,"leader":"control-1","self":true,"message":"leaderChanged"}
+{"time":"2026-07-11T17:46:05.8Z","level":"info","instance":"entry-2","request":"b2","outcome":"unknown","message":"requestFailed"}
+{"time":"2026-07-11T17:46:05.8Z","cut o`
+
+func TestRequestIsShownWithWhatHappenedAroundIt(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "all.log")
+	if err := os.WriteFile(path, []byte(logText), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	story, err := timeline.ReadFiles([]string{path}, timeline.Filter{Request: "a1", Around: time.Second})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var kinds []events.Kind
+	for _, e := range story.Events {
+		kinds = append(kinds, e.Kind)
+	}
+	if diff := cmp.Diff([]events.Kind{"leaderChanged", "requestRefused"}, kinds); diff != "" {
+		t.Error(diff)
+	}
+	if story.Unreadable != 1 {
+		t.Errorf("%d lines could not be read, want 1", story.Unreadable)
+	}
+	if refused := story.Events[len(story.Events)-1]; refused.Detail != "outcome=overloaded reason=quota" || refused.Revision != 4 {
+		t.Errorf("got %+v", refused)
+	}
+}
--- a/lentilctl/internal/timeline/text.go
+++ b/lentilctl/internal/timeline/text.go
@@ -21,6 +21,7 @@
 	if e.Slot != nil {
 		group = fmt.Sprintf("%s/%d", e.Service, *e.Slot)
 	}
+	add("request", e.Request)
 	add("group", group)
 	add("server", e.Server)
 	add("workspace", e.Workspace)
--- a/lentilwind/quota/entry.go
+++ b/lentilwind/quota/entry.go
@@ -127,6 +127,9 @@
 // CutOff tells whether the entry has been without contact for so long that it uses its floor share.
 func (e *Entry[V]) CutOff(now time.Time) bool { return now.Sub(e.lastContact) > e.settings.CutOffAfter }
 
+// LastContact returns when the last request that got an answer was sent, or when the entry began.
+func (e *Entry[V]) LastContact() time.Time { return e.lastContact }
+
 // alone tells whether the floor share is all that there has been for so long that no answer of a leader is to be expected soon.
 func (e *Entry[V]) alone(now time.Time) bool {
 	return now.Sub(e.lastContact) > e.settings.CutOffAfter+maxSilence
