--- a/entry/proxy/fake_test.go
+++ b/entry/proxy/fake_test.go
@@ -34,6 +34,8 @@
 	position group.Position
 	// unreachable servers refuse connections, and mute ones run statements and lose the answers.
 	unreachable, mute bool
+	// losing is how many reads are run whose answers are lost while those behind them on the connection still come.
+	losing int
 	// slow delays each read.
 	slow       time.Duration
 	ran        []statement.Statement
@@ -107,7 +109,12 @@
 	}
 	c.mute = c.s.mute
 	for _, st := range statements {
-		c.answers = append(c.answers, c.run(st))
+		answer := c.run(st)
+		if st.Verb == statement.Read && c.s.losing > 0 {
+			c.s.losing--
+			continue
+		}
+		c.answers = append(c.answers, answer)
 	}
 	return nil
 }
@@ -115,6 +122,9 @@
 func (c *conn) run(st statement.Statement) statement.Answer {
 	c.s.ran = append(c.s.ran, st)
 	a := statement.Answer{Outcome: statement.Done, Signature: "sig"}
+	if st.ID == statement.Own {
+		a.Signature = statement.OwnSignature
+	}
 	switch st.Verb {
 	case statement.Begin:
 		if !st.ReadOnly && !c.s.primary {
--- a/entry/proxy/link.go
+++ b/entry/proxy/link.go
@@ -67,6 +67,14 @@
 // nextName is the name of the next statement to prepare; names are never used twice between two resets.
 func (l *link) nextName() string { return "p" + strconv.Itoa(len(l.prepared)+1) }
 
+var errForeignAnswer = errors.New("proxy: the answer belongs to another statement")
+
+// isForeign tells whether an answer belongs to another statement, because the one before it was lost: a database signs the success of
+// what it runs for a caller.
+func isForeign(st statement.Statement, answer statement.Answer) bool {
+	return st.ID != statement.Own && answer.Outcome == statement.Done && (answer.Signature == "" || answer.Signature == statement.OwnSignature)
+}
+
 // exchange sends statements in one write and returns their answers; an error means that the last ones may have run.
 func (l *link) exchange(timeout time.Duration, statements ...statement.Statement) ([]statement.Answer, error) {
 	if err := l.backend.Send(statements...); err != nil {
@@ -74,8 +82,11 @@
 		return nil, err
 	}
 	answers := make([]statement.Answer, 0, len(statements))
-	for range statements {
+	for _, st := range statements {
 		answer, err := l.backend.Receive(timeout)
+		if err == nil && isForeign(st, answer) {
+			err = errForeignAnswer
+		}
 		if err != nil {
 			l.fail()
 			return answers, err
--- a/entry/proxy/proxy_test.go
+++ b/entry/proxy/proxy_test.go
@@ -47,6 +47,19 @@
 	}
 }
 
+// The answer of the rollback that follows a read must not be taken for the read's.
+func TestLostAnswerIsNotReplacedByTheNextOne(t *testing.T) {
+	d := newDatabases("a")
+	c, _ := newEntry(t, "e", d, nil).open("orders", "key")
+	d.change(func(servers map[group.Server]*server) { servers["a"].losing = 1 })
+	if got := c.ask("1", statement.Read, "READ x"); got.Outcome != statement.Done || len(got.Rows) != 1 || got.Signature != "sig" {
+		t.Errorf("the read was answered with %+v", got)
+	}
+	if n := d.runs("1"); n != 2 {
+		t.Errorf("the read ran %d times, want 2", n)
+	}
+}
+
 func TestOwnWritesAreReadEverywhere(t *testing.T) {
 	d := newDatabases("a", "b", "c")
 	c, _ := newEntry(t, "e", d, nil).open("counts", "key")
