A fault soak with real processes behind relays

Seeds draw faults of processes, databases, callers and operators that overlap; the promises are checked while they come and at the end.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PROGRAMS := entry control lentilctl bench
 OUT := out
 
-.PHONY: help build test fmt lint vet fuzz bench demo ci clean
+.PHONY: help build test fmt lint vet fuzz bench demo soak ci clean
 
 help: ## List the targets.
 	@grep -E '^[a-z]+:.*##' Makefile | sed 's/:.*##/\t/'
@@ -24,6 +24,12 @@
 lint: ## Check formatting and run the linter.
 	./tools/lint.sh $(MODULES)
 
+SEED ?= 1000
+SEEDS ?= 50
+
+soak: ## Run the fault soak on SEEDS seeds from SEED on.
+	go test -timeout 60m -run TestSoak -v ./platform/internal/program -soak.first $(SEED) -soak.seeds $(SEEDS) -soak.duration 10s
+
 vet: ## Run go vet.
 	go vet $(MODULES:%=./%/...)
 
