--- a/entry/proxy/record.go
+++ b/entry/proxy/record.go
@@ -69,6 +69,7 @@
 func (s *session) logRefusal(id statement.ID, reason string, answer statement.Answer, cause error) {
 	p := s.proxy
 	now := p.cfg.Now()
+	earlier := s.takeEarlier()
 	p.counters.mu.Lock()
 	if p.counters.refused == nil {
 		p.counters.refused = make(map[string]uint64)
@@ -87,12 +88,22 @@
 	if found := (*admission.Error)(nil); errors.As(cause, &found) {
 		over = *found
 	}
-	p.cfg.Log.Info().Str("request", string(id)).Str("database", string(s.database)).Str("workspace", string(s.workspace)).
+	p.cfg.Log.Info().Str("request", string(id)).Strs("earlier", earlier).Str("database", string(s.database)).Str("workspace", string(s.workspace)).
 		Str("reason", reason).Str("outcome", string(answer.Outcome)).Str("detail", answer.Detail).Uint64("version", version).
 		Int64("waitedMs", over.Waited.Milliseconds()).Int64("contactAgeMs", over.Contact.Milliseconds()).
 		Int64("leaseLeftMs", p.leaseUntil.Load().Sub(now).Milliseconds()).Uint64("folded", folded).Msg("requestRefused")
 }
 
+// takeEarlier returns the statements that led to an operation and forgets them.
+func (s *session) takeEarlier() []string {
+	ids := make([]string, len(s.earlier))
+	for i, id := range s.earlier {
+		ids[i] = string(id)
+	}
+	s.earlier = s.earlier[:0]
+	return ids
+}
+
 // operation is what the log tells of an operation that was offered to databases.
 type operation struct {
 	id     statement.ID
@@ -107,6 +118,7 @@
 func (s *session) finished(o operation, answer statement.Answer) {
 	p := s.proxy
 	now := p.cfg.Now()
+	earlier := s.takeEarlier()
 	took := now.Sub(o.began)
 	done := answer.Outcome == statement.Done
 	p.counters.mu.Lock()
@@ -135,7 +147,7 @@
 	if done {
 		event = "requestServed"
 	}
-	p.cfg.Log.Info().Str("request", string(o.id)).Str("database", string(s.database)).Str("service", string(o.route.Service)).
+	p.cfg.Log.Info().Str("request", string(o.id)).Strs("earlier", earlier).Str("database", string(s.database)).Str("service", string(o.route.Service)).
 		Str("workspace", string(s.workspace)).Str("consistency", string(o.route.Consistency)).Str("outcome", string(answer.Outcome)).
 		Str("detail", answer.Detail).Int64("tookMs", took.Milliseconds()).Int("offers", o.offers).Str("primary", primary).
 		Uint64("floorTerm", uint64(o.floor.Term)).Uint64("floorNumber", uint64(o.floor.Position)).Int64("proofAgeMs", age.Milliseconds()).
--- a/entry/proxy/session.go
+++ b/entry/proxy/session.go
@@ -26,6 +26,8 @@
 	// written is the last position that a commit of this session was given.
 	written map[group.Service]group.Floor
 	tx      *transaction
+	// earlier are the first statements since the last operation that were answered here; callers may know the operation by them.
+	earlier []statement.ID
 
 	// idle is true while the session waits for a statement outside a transaction; others may read it.
 	idle atomic.Bool
@@ -177,14 +179,17 @@
 	state := s.state()
 	switch st.Verb {
 	case statement.Set:
+		s.keep(st.ID)
 		return s.set(st)
 	case statement.Prepare:
+		s.keep(st.ID)
 		if s.prepared == nil {
 			s.prepared = make(map[string]forward.Shape)
 		}
 		s.prepared[st.Name] = forward.Shape{ReadOnly: st.ReadOnly, Text: st.Value}
 		return statement.Accept(state)
 	case statement.Deallocate:
+		s.keep(st.ID)
 		delete(s.prepared, st.Name)
 		return statement.Accept(state)
 	case statement.Begin:
@@ -198,6 +203,16 @@
 	}
 }
 
+// maxEarlier bounds the statements that are kept of one operation.
+const maxEarlier = 4
+
+// keep remembers a statement that belongs to the next operation to be logged.
+func (s *session) keep(id statement.ID) {
+	if len(s.earlier) < maxEarlier {
+		s.earlier = append(s.earlier, id)
+	}
+}
+
 func (s *session) state() statement.State {
 	switch {
 	case s.tx == nil:
--- a/entry/proxy/transaction.go
+++ b/entry/proxy/transaction.go
@@ -59,6 +59,7 @@
 	if !ok {
 		return refusal
 	}
+	s.keep(st.ID)
 	s.tx = &transaction{route: route, readOnly: st.ReadOnly, began: s.proxy.cfg.Now()}
 	return statement.Accept(statement.InTransaction)
 }
--- a/instance/events/events.go
+++ b/instance/events/events.go
@@ -51,15 +51,17 @@
 	Instance string    `json:"instance"`
 	Kind     Kind      `json:"kind"`
 	// Request, Workspace, Service, Slot, Server, Session, Revision and Term are what the time line filters by.
-	Request   string  `json:"request,omitempty"`
-	Workspace string  `json:"workspace,omitempty"`
-	Service   string  `json:"service,omitempty"`
-	Slot      *uint16 `json:"slot,omitempty"`
-	Server    string  `json:"server,omitempty"`
-	Session   string  `json:"session,omitempty"`
-	Revision  uint64  `json:"revision,omitempty"`
-	Term      uint64  `json:"term,omitempty"`
-	Detail    string  `json:"detail,omitempty"`
+	Request string `json:"request,omitempty"`
+	// Earlier are the ids of statements that led to the request.
+	Earlier   []string `json:"earlier,omitempty"`
+	Workspace string   `json:"workspace,omitempty"`
+	Service   string   `json:"service,omitempty"`
+	Slot      *uint16  `json:"slot,omitempty"`
+	Server    string   `json:"server,omitempty"`
+	Session   string   `json:"session,omitempty"`
+	Revision  uint64   `json:"revision,omitempty"`
+	Term      uint64   `json:"term,omitempty"`
+	Detail    string   `json:"detail,omitempty"`
 }
 
 // Recorder writes the events of one process as JSON lines.
--- a/lentilctl/internal/timeline/logs.go
+++ b/lentilctl/internal/timeline/logs.go
@@ -38,6 +38,7 @@
 	var entry struct {
 		Time                                                   time.Time
 		Instance, Message, Request, Workspace, Service, Server string
+		Earlier                                                []string
 		Version, Term                                          uint64
 	}
 	fields := make(map[string]any)
@@ -46,7 +47,7 @@
 	}
 	return events.Event{
 		Clock: hlc.FromWall(entry.Time), Time: entry.Time, Instance: entry.Instance, Kind: events.Kind(entry.Message), Request: entry.Request,
-		Workspace: entry.Workspace, Service: entry.Service, Server: entry.Server, Revision: entry.Version, Term: entry.Term,
+		Earlier: entry.Earlier, Workspace: entry.Workspace, Service: entry.Service, Server: entry.Server, Revision: entry.Version, Term: entry.Term,
 		Detail: detail(fields),
 	}, true
 }
--- a/lentilctl/internal/timeline/merge.go
+++ b/lentilctl/internal/timeline/merge.go
@@ -34,7 +34,7 @@
 		matches(f.Service, e.Service) &&
 		matches(f.Server, e.Server) &&
 		matches(f.Session, e.Session) &&
-		matches(f.Request, e.Request) &&
+		(matches(f.Request, e.Request) || slices.Contains(e.Earlier, f.Request)) &&
 		(f.Revision == 0 || f.Revision == e.Revision) &&
 		(f.Term == 0 || f.Term == e.Term) &&
 		(len(f.Kinds) == 0 || slices.Contains(f.Kinds, string(e.Kind)))
--- a/lentilctl/internal/timeline/merge_test.go
+++ b/lentilctl/internal/timeline/merge_test.go
@@ -51,7 +51,7 @@
 }
 
 const logText = `starting up
-  33.9 entry-1 {"time":"2026-07-11T17:46:05.9Z","level":"info","instance":"entry-1","request":"a1","workspace":"w","reason":"quota","outcome":"overloaded","version":4,"message":"requestRefused"}
+  33.9 entry-1 {"time":"2026-07-11T17:46:05.9Z","level":"info","instance":"entry-1","request":"a1","earlier":["a0"],"workspace":"w","reason":"quota","outcome":"overloaded","version":4,"message":"requestRefused"}
 {"time":"2026-07-11T17:46:05.5Z","level":"info","instance":"control-2","term":3,"leader":"control-2","self":true,"message":"leaderChanged"}
 {"time":"2026-07-11T17:46:01.5Z","level":"info","instance":"control-1","term":2,"leader":"control-1","self":true,"message":"leaderChanged"}
 {"time":"2026-07-11T17:46:05.8Z","level":"info","instance":"entry-2","request":"b2","outcome":"unknown","message":"requestFailed"}
@@ -62,7 +62,7 @@
 	if err := os.WriteFile(path, []byte(logText), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	story, err := timeline.ReadFiles([]string{path}, timeline.Filter{Request: "a1", Around: time.Second})
+	story, err := timeline.ReadFiles([]string{path}, timeline.Filter{Request: "a0", Around: time.Second})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -76,7 +76,7 @@
 	if story.Unreadable != 1 {
 		t.Errorf("%d lines could not be read, want 1", story.Unreadable)
 	}
-	if refused := story.Events[len(story.Events)-1]; refused.Detail != "outcome=overloaded reason=quota" || refused.Revision != 4 {
+	if refused := story.Events[len(story.Events)-1]; refused.Detail != "earlier=[a0] outcome=overloaded reason=quota" || refused.Revision != 4 {
 		t.Errorf("got %+v", refused)
 	}
 }
