Floor shares by demand are taken out again

Kept: entries prove their contact to a new leader without a pause, no refusal on the word of a leader known for less than 120 ms, one proposal of reserves at a time.

--- a/control/coordinator/leadership.go
+++ b/control/coordinator/leadership.go
@@ -42,7 +42,7 @@
 	roster  *roster
 	quota   *quota.Leader
 	version policy.Version
-	listed  []quota.Member
+	listed  []inventory.InstanceName
 	entries map[inventory.InstanceName]contact
 	// live are the entries that the newest roster names.
 	live    []fleet.Entry
@@ -82,8 +82,7 @@
 // configure gives the quota the newest workspaces and entries.
 func (l *leadership) configure() {
 	current := l.c.policy.Load()
-	recorded := l.c.state.Load()
-	listed := recorded.Entries
+	listed := l.c.state.Load().Entries
 	if current == nil || current.Version == l.version && slices.Equal(listed, l.listed) {
 		return
 	}
@@ -92,7 +91,7 @@
 	for _, w := range current.List {
 		workspaces = append(workspaces, inventory.Workspace{Name: w.Name, Rate: w.Rate, Burst: w.Burst})
 	}
-	l.quota.Configure(workspaces, listed, recorded.Parts, l.c.cfg.Now())
+	l.quota.Configure(workspaces, listed, l.c.cfg.Now())
 }
 
 // run does what a leader does by itself.
@@ -135,32 +134,32 @@
 }
 
 // wantedEntries returns the entries that should be recorded, nil if the record is right.
-func (l *leadership) wantedEntries(now time.Time) []quota.Member {
+func (l *leadership) wantedEntries(now time.Time) []inventory.InstanceName {
 	recorded := l.c.state.Load().Entries
-	var wanted []quota.Member
-	for _, member := range recorded {
-		e, found := l.entries[member.Name]
+	var wanted []inventory.InstanceName
+	for _, name := range recorded {
+		e, found := l.entries[name]
 		silent := now.Sub(e.heard)
 		if !found {
 			silent = now.Sub(l.roster.began)
 		}
 		if silent < entryForgotten {
-			wanted = append(wanted, member)
+			wanted = append(wanted, name)
 		}
 	}
-	for name, e := range l.entries {
-		if !slices.ContainsFunc(wanted, func(m quota.Member) bool { return m.Name == name }) {
-			wanted = append(wanted, quota.Member{Name: name, DataCentre: e.entry.DataCentre})
+	for name := range l.entries {
+		if !slices.Contains(wanted, name) {
+			wanted = append(wanted, name)
 		}
 	}
-	slices.SortFunc(wanted, func(a, b quota.Member) int { return cmp.Compare(a.Name, b.Name) })
+	slices.Sort(wanted)
 	if len(wanted) == 0 || slices.Equal(wanted, recorded) {
 		return nil
 	}
 	return wanted
 }
 
-// unrecorded returns what the next leader should know and the journal does not.
+// unrecorded returns what the next leader should know and the journal does not; one proposal is under way at a time.
 func (l *leadership) unrecorded(now time.Time) []command {
 	var commands []command
 	if wanted := l.wantedEntries(now); wanted != nil {
@@ -169,6 +168,9 @@
 	if changed := l.roster.unrecorded(l.c.state.Load().Servers); len(changed) > 0 {
 		commands = append(commands, command{Servers: changed})
 	}
+	if len(commands) > 0 || l.recording.Load() {
+		return commands
+	}
 	if reserves, changed := l.quota.Reserve(now); changed {
 		commands = append(commands, command{Reserves: &reserves})
 	}
--- a/control/coordinator/state.go
+++ b/control/coordinator/state.go
@@ -23,11 +23,11 @@
 
 // command is one change of the replicated state; exactly one field is set.
 type command struct {
-	Document    *fleet.Document `cbor:"1,keyasint,omitempty"`
-	Appointment *appointment    `cbor:"2,keyasint,omitempty"`
-	Entries     []quota.Member  `cbor:"3,keyasint,omitempty"`
-	Servers     []fleet.Server  `cbor:"4,keyasint,omitempty"`
-	Reserves    *quota.Reserves `cbor:"5,keyasint,omitempty"`
+	Document    *fleet.Document          `cbor:"1,keyasint,omitempty"`
+	Appointment *appointment             `cbor:"2,keyasint,omitempty"`
+	Entries     []inventory.InstanceName `cbor:"3,keyasint,omitempty"`
+	Servers     []fleet.Server           `cbor:"4,keyasint,omitempty"`
+	Reserves    *quota.Reserves          `cbor:"5,keyasint,omitempty"`
 }
 
 // state is the replicated state; it is replaced as a whole.
@@ -35,13 +35,11 @@
 	Document     fleet.Document                `cbor:"1,keyasint"`
 	Appointments map[group.Service]appointment `cbor:"2,keyasint"`
 	// Entries are the entries that may hold parts of the quota.
-	Entries []quota.Member `cbor:"3,keyasint"`
+	Entries []inventory.InstanceName `cbor:"3,keyasint"`
 	// Servers are the databases that have announced themselves, from which a new leader starts.
 	Servers map[group.Server]fleet.Server `cbor:"4,keyasint"`
 	// Reserves are the tokens of the quota that a new leader starts from.
 	Reserves quota.Reserves `cbor:"5,keyasint"`
-	// Parts is the number of data centres that entries were ever in at a time; one that is lost keeps its part of the quota's floors.
-	Parts int `cbor:"6,keyasint"`
 }
 
 // apply returns the state after a command.
@@ -64,7 +62,6 @@
 		next.Appointments[a.Service] = a
 	case c.Entries != nil:
 		next.Entries = slices.Clone(c.Entries)
-		next.Parts = max(s.Parts, dataCentres(c.Entries))
 	case c.Reserves != nil:
 		next.Reserves = *c.Reserves
 	case c.Servers != nil:
@@ -83,14 +80,6 @@
 	return &next
 }
 
-func dataCentres(entries []quota.Member) int {
-	seen := make(map[inventory.DataCentre]bool)
-	for _, entry := range entries {
-		seen[entry.DataCentre] = true
-	}
-	return len(seen)
-}
-
 func decodeState(data []byte) (*state, error) {
 	s := &state{}
 	if len(data) == 0 {
--- a/control/internal/quota/service.go
+++ b/control/internal/quota/service.go
@@ -81,11 +81,9 @@
 	}
 	s.revision = state.Revision()
 	inv := state.Inventory()
-	entries := make([]quota.Member, len(inv.Instances))
-	centres := make(map[inventory.DataCentre]bool)
+	entries := make([]inventory.InstanceName, len(inv.Instances))
 	for i, instance := range inv.Instances {
-		entries[i] = quota.Member{Name: instance.Name, DataCentre: instance.DataCentre}
-		centres[instance.DataCentre] = true
+		entries[i] = instance.Name
 	}
-	s.leader.Configure(inv.Workspaces, entries, len(centres), now)
+	s.leader.Configure(inv.Workspaces, entries, now)
 }
--- a/lentilwind/protocol/draw.go
+++ b/lentilwind/protocol/draw.go
@@ -43,18 +43,12 @@
 	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
-// Floor is the part of a workspace's limits that an entry may use while it is cut off from control.
-type Floor struct {
-	Workspace inventory.WorkspaceName `cbor:"1,keyasint"`
-	Fraction  float64                 `cbor:"2,keyasint"`
-}
-
 // DrawReply answers a DrawRequest.
 type DrawReply struct {
 	Grants []Grant     `cbor:"1,keyasint"`
 	Stamp  LeaderStamp `cbor:"2,keyasint"`
-	// Floors are the entry's floor shares that have changed in this term; the others stay. A new term begins with none.
-	Floors []Floor `cbor:"3,keyasint,omitempty"`
+	// Shares is the number of entries among which the floors are divided.
+	Shares uint32 `cbor:"3,keyasint"`
 	// CutOff is the time without contact after which an entry uses its floor share.
 	CutOff time.Duration `cbor:"4,keyasint,omitempty"`
 }
--- a/lentilwind/quota/entry.go
+++ b/lentilwind/quota/entry.go
@@ -18,8 +18,8 @@
 	lastSent    time.Time
 	echo        protocol.LeaderStamp
 	echoOf      protocol.LeaderStamp
-	// floors are the fractions of the workspaces' limits that may be used without a leader.
-	floors map[inventory.WorkspaceName]float64
+	// shares is the number of entries that the floors are divided among; 0 before the first contact.
+	shares int
 	// answers counts the replies of the present term, the first of which came at met.
 	answers int
 	met     time.Time
@@ -68,7 +68,6 @@
 		settings:    settings,
 		name:        name,
 		accounts:    make(map[inventory.WorkspaceName]*Account[V]),
-		floors:      make(map[inventory.WorkspaceName]float64),
 		lastContact: now,
 	}
 }
@@ -92,7 +91,7 @@
 		if len(a.waiting) == 0 && e.takeFloor(a, now) {
 			return Admitted, nil
 		}
-		if e.alone(now) && float64(len(a.waiting)) >= e.floor(a).Rate*e.settings.maxWait().Seconds() {
+		if e.alone(now) && float64(len(a.waiting)) >= e.settings.Floor(a.limits, e.shares).Rate*e.settings.maxWait().Seconds() {
 			return Refused, nil
 		}
 	}
@@ -127,14 +126,14 @@
 // CutOff tells whether the entry has been without contact for so long that it uses its floor share.
 func (e *Entry[V]) CutOff(now time.Time) bool { return now.Sub(e.lastContact) > e.settings.CutOffAfter }
 
-// LastContact returns when the last request that got an answer was sent, or when the entry began.
-func (e *Entry[V]) LastContact() time.Time { return e.lastContact }
-
 // alone tells whether the floor share is all that there has been for so long that no answer of a leader is to be expected soon.
 func (e *Entry[V]) alone(now time.Time) bool {
 	return now.Sub(e.lastContact) > e.settings.CutOffAfter+maxSilence
 }
 
+// LastContact returns when the last request that got an answer was sent, or when the entry began.
+func (e *Entry[V]) LastContact() time.Time { return e.lastContact }
+
 // Unsure tells whether a refusal would be premature: the leader has not answered for so long that it may be gone, or is so new that
 // it does not grant all that it has yet.
 func (e *Entry[V]) Unsure(now time.Time) bool {
@@ -146,25 +145,11 @@
 	return e.answers > 0 && now.Sub(e.met) < e.settings.maxWait()
 }
 
-// outlived tells whether the floor shares have ended.
-func (e *Entry[V]) outlived(now time.Time) bool {
-	return e.settings.FloorLife > 0 && now.Sub(e.lastContact) > e.settings.FloorLife
-}
-
-// floor returns the limits of a workspace's floor share.
-func (e *Entry[V]) floor(a *Account[V]) Limits {
-	fraction := e.floors[a.workspace]
-	return Limits{Rate: a.limits.Rate * fraction, Burst: a.limits.Burst * fraction}
-}
-
 // takeFloor takes a token out of the floor share, which begins empty when the entry becomes cut off.
 //
 // Its rate is less than the share by the most that the entry's clock may run fast.
 func (e *Entry[V]) takeFloor(a *Account[V], now time.Time) bool {
-	if e.outlived(now) {
-		return false
-	}
-	share := e.floor(a)
+	share := e.settings.Floor(a.limits, e.shares)
 	begin := e.lastContact.Add(e.settings.CutOffAfter)
 	if a.floor.settled.Before(begin) {
 		a.floor = bucket{settled: begin}
@@ -201,18 +186,12 @@
 	if len(reply.Grants) != len(round.Request.Draws) {
 		return nil
 	}
-	if reply.Stamp.Term != e.echo.Term || e.outlived(now) {
-		// What was told by a former leader, or too long ago, is not in force any longer.
-		clear(e.floors)
-	}
 	if reply.Stamp.Term != e.echo.Term {
 		e.answers, e.met = 0, now
 	}
 	e.answers++
-	for _, floor := range reply.Floors {
-		e.floors[floor.Workspace] = floor.Fraction
-	}
 	e.echoOf, e.echo = round.Request.Echo, reply.Stamp
+	e.shares = int(reply.Shares)
 	if reply.CutOff > 0 {
 		e.settings.CutOffAfter = reply.CutOff
 	}
--- a/lentilwind/quota/leader.go
+++ b/lentilwind/quota/leader.go
@@ -21,7 +21,6 @@
 	workspaces map[inventory.WorkspaceName]*workspace
 	buckets    map[inventory.WorkspaceName]*account
 	contacts   contacts
-	floors     floors
 	// refillFrom is the time at which the last floor came back.
 	refillFrom time.Time
 	configured time.Time
@@ -53,19 +52,15 @@
 		refillFrom: now,
 		workspaces: make(map[inventory.WorkspaceName]*workspace),
 		buckets:    make(map[inventory.WorkspaceName]*account),
-		contacts:   contacts{within: settings.CutOffAfter / 2, entries: make(map[inventory.InstanceName]*contact)},
-		floors: floors{
-			aside:   make(map[inventory.WorkspaceName]float64),
-			centres: make(map[inventory.WorkspaceName]map[inventory.DataCentre]*centre),
-		},
-		reserves: reserves{journalled: held.Tokens, carried: maps.Clone(held.Tokens), carriedUntil: now.Add(carryTime)},
+		contacts:   newContacts(settings.CutOffAfter / 2),
+		reserves:   reserves{journalled: held.Tokens, carried: maps.Clone(held.Tokens), carriedUntil: now.Add(carryTime)},
 	}
 }
 
-// Configure takes in the workspaces and the entries of an inventory, and the number of data centres that the floors are divided among.
+// Configure takes in the workspaces and the entries of an inventory.
 //
-// An instance should leave the inventory only when it has stopped: its floors are not set aside any longer.
-func (l *Leader) Configure(workspaces []inventory.Workspace, entries []Member, parts int, now time.Time) {
+// An instance should leave the inventory only when it has stopped: its floor is not set aside any longer.
+func (l *Leader) Configure(workspaces []inventory.Workspace, entries []inventory.InstanceName, now time.Time) {
 	l.advance(now)
 	if l.configured.IsZero() {
 		// Entries learn the time from the leader of the term, so it must not change during one.
@@ -73,11 +68,7 @@
 		l.contacts.within = l.settings.CutOffAfter / 2
 	}
 	l.configured = now
-	for _, gone := range l.contacts.list(entries) {
-		l.drop(gone, now)
-	}
-	l.floors.parts = parts
-	l.recountCentres()
+	l.contacts.list(entries, now)
 	old := l.workspaces
 	l.workspaces = make(map[inventory.WorkspaceName]*workspace, len(workspaces))
 	for _, w := range workspaces {
@@ -92,40 +83,21 @@
 	l.reshapeAll(now)
 }
 
-// drop forgets an entry that is gone.
-func (l *Leader) drop(entry *contact, now time.Time) {
-	if entry.proven.IsZero() {
-		l.setAside(entry, -1, now)
-	}
-	for name, s := range entry.floors {
-		l.change(entry, name, s, func(s *share) { s.held, s.open = 0, false })
-	}
-}
-
 // aheadShare is the part of a bucket that grants ahead of need leave for others and for reserves.
 const aheadShare = 0.7
 
 // Draw answers a request; what it grants for need goes first, and what is ahead of need leaves a part of the bucket.
 func (l *Leader) Draw(request *protocol.DrawRequest, now time.Time) protocol.DrawReply {
 	l.advance(now)
-	entry := l.contacts.entries[request.Entry]
-	if entry != nil {
-		l.contact(entry, request, now)
-	}
+	l.contact(request, now)
 	reply := protocol.DrawReply{
 		Stamp:  protocol.LeaderStamp{Term: l.term, Time: now.Sub(l.began)},
+		Shares: uint32(l.contacts.len()),
 		CutOff: l.settings.CutOffAfter,
 		Grants: make([]protocol.Grant, 0, len(request.Draws)),
 	}
 	for _, draw := range request.Draws {
-		grant := l.grant(draw, now)
-		reply.Grants = append(reply.Grants, grant)
-		if entry != nil && l.workspaces[draw.Workspace] != nil {
-			l.note(entry, draw, grant.Granted, now)
-		}
-	}
-	if entry != nil {
-		reply.Floors = l.review(entry, reply.Stamp, now)
+		reply.Grants = append(reply.Grants, l.grant(draw, now))
 	}
 	return reply
 }
@@ -158,33 +130,30 @@
 	a := l.buckets[name]
 	if a == nil {
 		a = &account{bucket: bucket{settled: l.began}}
-		l.reshape(a, w, l.settings.FloorFraction, l.began)
-		l.reshape(a, w, l.asideOf(name), l.refillFrom)
+		l.reshape(a, w, l.contacts.all(), l.began)
+		l.reshape(a, w, l.contacts.aside, l.refillFrom)
 		l.buckets[name] = a
 	}
 	a.settle(now)
 	return a
 }
 
-// reshape fits a bucket to the limits less the fraction of the floors that is set aside.
+// reshape fits a bucket to the limits less the floor shares that are set aside.
 func (l *Leader) reshape(a *account, w *workspace, aside float64, now time.Time) {
-	left := Limits{Rate: w.limits.Rate - aside*w.floor.Rate, Burst: w.limits.Burst - aside*w.floor.Burst}
+	floor := l.settings.Floor(w.floor, l.contacts.len())
+	aside *= float64(l.contacts.len())
+	left := Limits{Rate: w.limits.Rate - aside*floor.Rate, Burst: w.limits.Burst - aside*floor.Burst}
 	a.lifetime = l.settings.Lifetime(w.limits)
 	depth, rate := shape(left, a.lifetime)
 	a.reshape(depth, max(0, rate), now)
 }
 
-// reshapeOne fits the bucket of one workspace if it is kept.
-func (l *Leader) reshapeOne(name inventory.WorkspaceName, at time.Time) {
-	if a, w := l.buckets[name], l.workspaces[name]; a != nil && w != nil {
-		l.reshape(a, w, l.asideOf(name), at)
-	}
-}
-
 // reshapeAll fits every kept bucket; those of workspaces that are gone fill up until they are forgotten.
 func (l *Leader) reshapeAll(at time.Time) {
-	for name := range l.buckets {
-		l.reshapeOne(name, at)
+	for name, a := range l.buckets {
+		if w := l.workspaces[name]; w != nil {
+			l.reshape(a, w, l.contacts.aside, at)
+		}
 	}
 }
 
@@ -192,14 +161,14 @@
 // needed any longer.
 func (l *Leader) advance(now time.Time) {
 	for _, expiry := range l.contacts.due(now) {
-		l.setAside(expiry.contact, 1, expiry.at)
+		l.contacts.aside += expiry.fraction
+		l.reshapeAll(expiry.at)
 	}
 	l.mergeCarried(now)
 	if now.Before(l.forgetAt) {
 		return
 	}
 	l.forgetAt = now.Add(forgetEvery)
-	l.endFloors(now)
 	l.forgetFloors(now)
 	for name, a := range l.buckets {
 		if a.settle(now); a.level >= a.depth {
@@ -218,25 +187,14 @@
 	}
 }
 
-// contact takes in what a request proves about the entry's last contact, and which floor shares it has heard of.
-func (l *Leader) contact(entry *contact, request *protocol.DrawRequest, now time.Time) {
-	entry.heard = now
+// contact takes in what a request proves about the entry's last contact.
+func (l *Leader) contact(request *protocol.DrawRequest, now time.Time) {
 	if request.EchoOf.Term != l.term || request.Echo.Term != l.term {
 		return
 	}
-	if l.contacts.prove(entry, l.began.Add(request.EchoOf.Time), l.configured, now) {
+	if l.contacts.prove(request.Entry, l.began.Add(request.EchoOf.Time), now) {
 		l.refillFrom = now
-		if entry.met {
-			l.setAside(entry, -1, now)
-			l.tellAgain(entry, now)
-		} else {
-			entry.met = true
-			l.recountCentres()
-			l.reshapeAll(now)
-		}
-	}
-	if !entry.proven.IsZero() {
-		l.acknowledge(entry, request.Echo)
+		l.reshapeAll(now)
 	}
 }
 
--- a/lentilwind/quota/reserve.go
+++ b/lentilwind/quota/reserve.go
@@ -63,7 +63,8 @@
 
 // Reserve returns what the journal should hold next, and false if nothing needs to change.
 //
-// The answer binds the leader at once, and until Journalled has told it of this proposal or a later one.
+// The answer binds the leader at once, and until Journalled has told it of this proposal. It should be asked again only once that has
+// ended, since each answer replaces the one before.
 func (l *Leader) Reserve(now time.Time) (Reserves, bool) {
 	l.advance(now)
 	wanted := make(map[inventory.WorkspaceName]float64)
@@ -86,7 +87,7 @@
 
 // wantedReserve returns the reserve that suits a bucket as it is now.
 func (l *Leader) wantedReserve(name inventory.WorkspaceName, w *workspace, now time.Time) float64 {
-	if l.asideOf(name) > maxAside {
+	if l.contacts.aside > maxAside {
 		return 0
 	}
 	a := l.account(name, w, now)
--- a/lentilwind/quota/settings.go
+++ b/lentilwind/quota/settings.go
@@ -15,10 +15,6 @@
 	CutOffPerEntry time.Duration
 	// FloorFraction is the part of each workspace's quota that is divided into floor shares.
 	FloorFraction float64
-	// FloorLife is how long after its last contact an entry uses its floor shares; 0 stands for ever.
-	FloorLife time.Duration
-	// DivideByDemand divides the floors of fleets in which an even share is of no use by data centre and demand.
-	DivideByDemand bool
 }
 
 // DefaultSettings returns the settings of a fleet.
@@ -38,9 +34,6 @@
 	s.CutOffAfter = 240 * time.Millisecond
 	s.CutOffPerEntry = 5 * time.Millisecond
 	s.FloorFraction = 1
-	// A configuration lease ends earlier, and no request with a key is admitted after it.
-	s.FloorLife = 6 * time.Second
-	s.DivideByDemand = true
 	return s
 }
 
@@ -77,3 +70,12 @@
 	life := time.Duration(lifetimeShare * l.Burst / l.Rate * float64(time.Second))
 	return min(max(life, s.MinLifetime), s.MaxLifetime)
 }
+
+// Floor returns the share of one cut-off entry among a number of them; shares below one request are none.
+func (s Settings) Floor(l Limits, shares int) Limits {
+	fraction := s.FloorFraction / float64(max(1, shares))
+	if shares == 0 || l.Burst*fraction < 1 {
+		return Limits{}
+	}
+	return Limits{Rate: l.Rate * fraction, Burst: l.Burst * fraction}
+}
