succession: leases on primaries that nobody stops

Cause: a replaced primary goes on acknowledging writes where the platform does not fence it; an entry took its BEGIN as a proof.

--- a/lentilwind/fleet/fleet.go
+++ b/lentilwind/fleet/fleet.go
@@ -105,6 +105,8 @@
 	// Relay asks a process that does not lead to forward the request to the leader.
 	Relay bool  `cbor:"5,keyasint,omitempty"`
 	Entry Entry `cbor:"6,keyasint"`
+	// Designations is the newest table of designated primaries that the entry obeys. It confirms that the entry uses no other primary.
+	Designations Epoch `cbor:"7,keyasint,omitempty"`
 }
 
 // RenewReply grants a lease on the newest configuration.
@@ -117,6 +119,10 @@
 	Roster   *Roster        `cbor:"4,keyasint,omitempty"`
 	// Controls lists the addresses of the control processes, the leader first.
 	Controls []string `cbor:"5,keyasint,omitempty"`
+	// PrimaryLease is how long the designated primaries may be used, counted from the sending of the request; 0 grants nothing.
+	PrimaryLease time.Duration `cbor:"6,keyasint,omitempty"`
+	// Designations contains the table of designated primaries if it is newer than that of the request.
+	Designations *Designations `cbor:"7,keyasint,omitempty"`
 }
 
 // Empty is the body of requests and replies without content.
--- a/lentilwind/succession/tracker.go
+++ b/lentilwind/succession/tracker.go
@@ -32,12 +32,16 @@
 	ReasonLeaving Reason = "leaving"
 	// ReasonMissing means that no member announces itself as the primary.
 	ReasonMissing Reason = "missing"
+	// ReasonNotLeading means that the designated primary answers that it is a replica, or that no primary is designated.
+	ReasonNotLeading Reason = "notLeading"
 )
 
 // Limits of failure detection.
 const (
 	// unansweredProbeLimit is the number of consecutive unanswered probes after which a primary counts as silent.
 	unansweredProbeLimit = 2
+	// replicaAnswerLimit is the number of consecutive probes answered by a replica after which a designated primary does not lead.
+	replicaAnswerLimit = 2
 	// maxEntryContactAge is the maximum age of an entry's last answer from a primary for the primary to count as alive.
 	maxEntryContactAge = 400 * time.Millisecond
 	// maxReportAge is the maximum age of an entry's report that is taken into account.
@@ -61,6 +65,10 @@
 // Tracker tracks the primary of one group and decides when it must be replaced; the zero value is ready to use.
 type Tracker struct {
 	Members []Member
+	// Designated is the only server that may be the primary; "" if the announcements decide. Suspended means that it has lost that right
+	// and that none has got it yet.
+	Designated group.Server
+	Suspended  bool
 
 	primary     group.Server
 	incarnation int64
@@ -71,12 +79,17 @@
 	// lastEntryContact is the latest time at which any entry got an answer from the primary.
 	lastEntryContact time.Time
 	missingSince     time.Time
+	// replicaAnswers counts the consecutive probes that a replica answered.
+	replicaAnswers int
 	// isReplica is set if the primary last answered, after promotionGrace, that it is a replica.
 	isReplica bool
 }
 
 // Primary returns the member that is considered the primary, or "" if there is none.
 func (t *Tracker) Primary() group.Server {
+	if t.Designated != "" {
+		return t.designatedPrimary()
+	}
 	for _, m := range t.Members {
 		if m.Server == t.primary && m.Incarnation == t.incarnation && (m.Primary || !t.promotedAt.IsZero() && !t.isReplica) {
 			return t.primary
@@ -92,10 +105,26 @@
 	return ""
 }
 
+// designatedPrimary returns the designated server if it is a member, whatever the members announce.
+func (t *Tracker) designatedPrimary() group.Server {
+	for _, m := range t.Members {
+		if m.Server != t.Designated {
+			continue
+		}
+		if m.Server != t.primary || m.Incarnation != t.incarnation {
+			t.setPrimary(m)
+		}
+		return t.primary
+	}
+	t.primary = ""
+	return ""
+}
+
 // setPrimary makes m the primary and resets what is known of the previous one.
 func (t *Tracker) setPrimary(m Member) {
 	t.primary, t.incarnation = m.Server, m.Incarnation
 	t.promotedAt, t.unansweredProbes, t.lastEntryContact, t.isReplica = time.Time{}, 0, time.Time{}, false
+	t.replicaAnswers = 0
 }
 
 // MarkPromoted records that a member was promoted to primary.
@@ -118,11 +147,12 @@
 		t.unansweredProbes++
 	case ProbeReplica:
 		t.unansweredProbes = 0
+		t.replicaAnswers++
 		if now.Sub(t.promotedAt) > promotionGrace {
 			t.isReplica = true
 		}
 	default:
-		t.unansweredProbes, t.isReplica = 0, false
+		t.unansweredProbes, t.replicaAnswers, t.isReplica = 0, 0, false
 	}
 }
 
@@ -140,10 +170,16 @@
 // Decide reports whether a replica must be promoted now, and why.
 func (t *Tracker) Decide(now time.Time) (Reason, bool) {
 	primary := t.Primary()
+	if primary == "" && t.Designated != "" {
+		return ReasonMissing, len(t.Members) > 0
+	}
 	if primary == "" {
 		return t.decideMissing(now)
 	}
 	t.missingSince = time.Time{}
+	if t.Designated != "" && (t.Suspended || t.replicaAnswers >= replicaAnswerLimit) {
+		return ReasonNotLeading, true
+	}
 	if !t.promotedAt.IsZero() && now.Sub(t.promotedAt) < promotionGrace {
 		return "", false
 	}
