Fence replaced primaries by leases where the platform does not

Change: control journals designations and suspensions, waits for the entries before it orders a successor, and demotes a primary that answers; entries obey them under a lease of 1.5 s. The setting "fencing" chooses. Orders that time out are discarded with their connection.

--- a/control/coordinator/leadership.go
+++ b/control/coordinator/leadership.go
@@ -14,6 +14,7 @@
 	"lentilwind.dev/lentilwind/policy"
 	"lentilwind.dev/lentilwind/protocol"
 	"lentilwind.dev/lentilwind/quota"
+	"lentilwind.dev/lentilwind/succession"
 )
 
 // Intervals and timeouts of a leader.
@@ -24,6 +25,9 @@
 	// entryRemoveAfter is how long after its last renewal an entry's share of the quota is given to the others.
 	entryRemoveAfter = 30 * time.Second
 	proposeTimeout   = 2 * time.Second
+	// primaryLease is how long an entry may use the designated primaries without control. It covers the election of a leader. A
+	// replacement waits for it if an entry is silent.
+	primaryLease = 1500 * time.Millisecond
 )
 
 // entryContact holds the last renewal of one entry.
@@ -31,6 +35,8 @@
 	entry       fleet.Entry
 	lastContact time.Time
 	reports     []fleet.ServerReport
+	// designations is the table of designated primaries that the entry obeys.
+	designations fleet.Epoch
 }
 
 // leaderState holds what a process knows only while it leads; it is reset with each term.
@@ -194,6 +200,19 @@
 	}()
 }
 
+// leaseHolders returns the entries that may hold leases on primaries, and the time since which this process leads.
+func (l *leaderState) leaseHolders() (holders []succession.LeaseHolder, since time.Time, leads bool) {
+	if !l.lockIfLeading() {
+		return nil, time.Time{}, false
+	}
+	defer l.mu.Unlock()
+	for _, name := range l.c.state.Load().Entries {
+		e := l.entries[name]
+		holders = append(holders, succession.LeaseHolder{LastContact: e.lastContact, Confirmed: e.designations})
+	}
+	return holders, l.roster.startedAt, true
+}
+
 // liveEntries returns the entries that share the databases' connections, ordered by name.
 func (l *leaderState) liveEntries(now time.Time) []fleet.Entry {
 	var live []fleet.Entry
@@ -245,7 +264,7 @@
 		return
 	}
 	defer l.mu.Unlock()
-	l.entries[request.Entry.Name] = entryContact{entry: request.Entry, lastContact: now, reports: request.Reports}
+	l.entries[request.Entry.Name] = entryContact{entry: request.Entry, lastContact: now, reports: request.Reports, designations: request.Designations}
 	l.updateLiveEntries(now)
 }
 
@@ -267,8 +286,17 @@
 	}
 	defer l.mu.Unlock()
 	now := l.c.cfg.Now()
-	document := l.c.state.Load().Document
+	current := l.c.state.Load()
+	document := current.Document
 	reply := fleet.RenewReply{Lease: l.c.cfg.Lease, Version: document.Version}
+	if slices.Contains(current.Entries, request.Entry.Name) {
+		// Only recorded entries get leases, so that a later leader knows all entries whose leases it must wait for.
+		reply.PrimaryLease = primaryLease
+	}
+	if current.Epoch > request.Designations {
+		table := current.designations()
+		reply.Designations = &table
+	}
 	if document.Version > request.Version {
 		reply.Document = &document
 	}
@@ -276,8 +304,8 @@
 		snapshot := l.roster.snapshot(now, l.live)
 		reply.Roster = &snapshot
 	}
-	hasChanges := reply.Document != nil || reply.Roster != nil
-	if hasChanges {
+	hasChanges := reply.Document != nil || reply.Roster != nil || reply.Designations != nil
+	if reply.Document != nil || reply.Roster != nil {
 		reply.Controls = l.c.controlAddresses()
 	}
 	// If the leader lease still holds now, it also held when the state was read.
--- a/control/coordinator/primaries.go
+++ b/control/coordinator/primaries.go
@@ -55,6 +55,11 @@
 	probing       bool
 	promoting     bool
 	lastPromotion time.Time
+	// known is set once the recorded promotion of this service was read.
+	known bool
+	// outstanding is a server whose last order got no answer, so that the order may be carried out until outstandingUntil.
+	outstanding      group.Server
+	outstandingUntil time.Time
 }
 
 func newPrimaryMonitor(c *Coordinator, r *roster) *primaryMonitor {
@@ -71,6 +76,10 @@
 			p.services[name] = monitored
 		}
 		monitored.succession.Members = successionMembers(servers)
+		if p.fencedByLeases(name) && !p.updateDesignated(ctx, name, monitored) {
+			p.mu.Unlock()
+			continue
+		}
 		for _, s := range reports {
 			monitored.succession.HandleEntryReport(now, s.Server, s.SinceAnswer, s.FailingFor, s.age)
 		}
@@ -81,7 +90,11 @@
 			monitored.promoting = true
 		}
 		p.mu.Unlock()
-		if start {
+		switch {
+		case !start:
+		case p.fencedByLeases(name):
+			go p.replaceByLeases(ctx, name, monitored, reason)
+		default:
 			go p.replacePrimary(ctx, name, monitored, reason)
 		}
 	}
@@ -135,22 +148,25 @@
 	monitored.succession.HandleProbe(pr.target.Server, sent, p.c.cfg.Now(), result)
 }
 
+// endPromotion allows the next replacement of a primary.
+func (p *primaryMonitor) endPromotion(monitored *monitoredService) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	monitored.promoting, monitored.lastPromotion = false, p.c.cfg.Now()
+}
+
 // replacePrimary promotes the most up-to-date replica of a service.
 func (p *primaryMonitor) replacePrimary(ctx context.Context, name group.Service, monitored *monitoredService, reason succession.Reason) {
-	defer func() {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		monitored.promoting, monitored.lastPromotion = false, p.c.cfg.Now()
-	}()
+	defer p.endPromotion(monitored)
 	servers := p.roster.liveByService()[name]
-	best, position, found := p.chooseReplica(servers, monitored, reason)
+	p.mu.Lock()
+	replaced := monitored.succession.Primary()
+	p.mu.Unlock()
+	best, position, found := p.chooseReplica(servers, replaced, reason)
 	if !found {
 		return
 	}
 	start := p.c.cfg.Now()
-	p.mu.Lock()
-	replaced := monitored.succession.Primary()
-	p.mu.Unlock()
 	err := p.promoteWithRetries(ctx, name, best, replaced, reason)
 	if err != nil && !errors.Is(err, ErrNoResponse) {
 		return
@@ -211,19 +227,16 @@
 	replicaStatus
 }
 
-// chooseReplica queries the positions of all replicas and returns the one that has received the most.
+// chooseReplica queries the positions of all servers but one, the former primary, and returns the one that has received the most.
 //
 // With synchronous replication, an acknowledged commit may be on as few as syncReplicas replicas. So fewer replicas than that may
 // be silent: otherwise it is possible that no replica that answers has the commit.
-func (p *primaryMonitor) chooseReplica(servers []serverRecord, monitored *monitoredService, reason succession.Reason) (fleet.Server, group.Floor, bool) {
-	p.mu.Lock()
-	primary := monitored.succession.Primary()
-	p.mu.Unlock()
+func (p *primaryMonitor) chooseReplica(servers []serverRecord, former group.Server, reason succession.Reason) (fleet.Server, group.Floor, bool) {
 	syncReplicas := p.syncReplicas(servers)
 	results := make(chan candidate, len(servers))
 	asked := 0
 	for _, s := range servers {
-		if s.Name == primary || s.Leaving && syncReplicas == 0 {
+		if s.Name == former || s.Leaving && syncReplicas == 0 {
 			continue
 		}
 		asked++
--- a/control/coordinator/probe.go
+++ b/control/coordinator/probe.go
@@ -19,6 +19,8 @@
 	mu      sync.Mutex
 	backend database.Connection
 	closed  bool
+	// term is the term that the database last reported.
+	term group.Term
 }
 
 // checkRole asks the database to begin a write transaction, which only a primary accepts.
@@ -56,6 +58,7 @@
 		p.disconnect()
 		return succession.ProbeNoAnswer
 	case first.Outcome == statement.Done:
+		p.term = first.Position.Term
 		return succession.ProbePrimary
 	case first.Outcome == statement.ReadOnlyServer:
 		return succession.ProbeReplica
@@ -64,6 +67,31 @@
 	}
 }
 
+// lastTerm returns the term that the database last reported as the primary.
+func (p *probe) lastTerm() group.Term {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.term
+}
+
+// query sends one statement over the connection that is kept open.
+func (p *probe) query(timeout time.Duration, st statement.Statement) (statement.Answer, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || p.backend == nil {
+		return queryOnce(p.connector, p.target, timeout, st)
+	}
+	if err := p.backend.Send(st); err != nil {
+		p.disconnect()
+		return statement.Answer{}, err
+	}
+	answer, err := p.backend.Receive(timeout)
+	if err != nil {
+		p.disconnect()
+	}
+	return answer, err
+}
+
 func (p *probe) disconnect() {
 	p.backend.Close()
 	p.backend = nil
--- a/control/coordinator/state.go
+++ b/control/coordinator/state.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -19,15 +20,36 @@
 	Server  group.Server           `cbor:"2,keyasint"`
 	Holder  inventory.InstanceName `cbor:"3,keyasint"`
 	Token   journal.Index          `cbor:"4,keyasint,omitempty"`
+	// Epoch is the last change of the right to be the primary, Suspended means that no server has it, and Drain that writes to the former
+	// primary may finish because it was stopped in order.
+	Epoch     fleet.Epoch `cbor:"5,keyasint,omitempty"`
+	Suspended bool        `cbor:"6,keyasint,omitempty"`
+	Drain     bool        `cbor:"7,keyasint,omitempty"`
+	// Settled means that no order for the server can be carried out any more that has not been.
+	Settled bool `cbor:"8,keyasint,omitempty"`
+}
+
+// suspension ends the right to use the primary of a service; Drain lets writes in flight to it finish.
+type suspension struct {
+	Service group.Service `cbor:"1,keyasint"`
+	Drain   bool          `cbor:"2,keyasint,omitempty"`
+}
+
+// settlement records that the orders of a promotion have been answered.
+type settlement struct {
+	Service group.Service `cbor:"1,keyasint"`
+	Token   journal.Index `cbor:"2,keyasint"`
 }
 
 // command is one change of the replicated state; exactly one field is set.
 type command struct {
-	Document  *fleet.Document          `cbor:"1,keyasint,omitempty"`
-	Promotion *promotion               `cbor:"2,keyasint,omitempty"`
-	Entries   []inventory.InstanceName `cbor:"3,keyasint,omitempty"`
-	Servers   []fleet.Server           `cbor:"4,keyasint,omitempty"`
-	Reserves  *quota.Reserves          `cbor:"5,keyasint,omitempty"`
+	Document   *fleet.Document          `cbor:"1,keyasint,omitempty"`
+	Promotion  *promotion               `cbor:"2,keyasint,omitempty"`
+	Entries    []inventory.InstanceName `cbor:"3,keyasint,omitempty"`
+	Servers    []fleet.Server           `cbor:"4,keyasint,omitempty"`
+	Reserves   *quota.Reserves          `cbor:"5,keyasint,omitempty"`
+	Suspension *suspension              `cbor:"6,keyasint,omitempty"`
+	Settlement *settlement              `cbor:"7,keyasint,omitempty"`
 }
 
 // state is the replicated state; each change creates a new value.
@@ -40,6 +62,8 @@
 	Servers map[group.Server]fleet.Server `cbor:"4,keyasint"`
 	// Reserves are the quota tokens from which a new leader starts.
 	Reserves quota.Reserves `cbor:"5,keyasint"`
+	// Epoch is the last change of Promotions.
+	Epoch fleet.Epoch `cbor:"6,keyasint,omitempty"`
 }
 
 // apply returns the state after a command.
@@ -53,13 +77,20 @@
 			next.Reserves.Tokens = nil
 		}
 	case c.Promotion != nil:
-		next.Promotions = maps.Clone(s.Promotions)
-		if next.Promotions == nil {
-			next.Promotions = make(map[group.Service]promotion)
-		}
 		a := *c.Promotion
 		a.Token = index
-		next.Promotions[a.Service] = a
+		a.Epoch, next.Epoch = fleet.Epoch(index), fleet.Epoch(index)
+		next.setPromotion(a)
+	case c.Suspension != nil:
+		a := s.Promotions[c.Suspension.Service]
+		a.Service, a.Suspended, a.Drain = c.Suspension.Service, true, c.Suspension.Drain
+		a.Epoch, next.Epoch = fleet.Epoch(index), fleet.Epoch(index)
+		next.setPromotion(a)
+	case c.Settlement != nil:
+		if a := s.Promotions[c.Settlement.Service]; a.Token == c.Settlement.Token {
+			a.Settled = true
+			next.setPromotion(a)
+		}
 	case c.Entries != nil:
 		next.Entries = slices.Clone(c.Entries)
 	case c.Reserves != nil:
@@ -80,6 +111,24 @@
 	return &next
 }
 
+// setPromotion replaces the promotion of a service.
+func (s *state) setPromotion(a promotion) {
+	promotions := make(map[group.Service]promotion, len(s.Promotions)+1)
+	maps.Copy(promotions, s.Promotions)
+	promotions[a.Service] = a
+	s.Promotions = promotions
+}
+
+// designations returns the table of designated primaries, ordered by service.
+func (s *state) designations() fleet.Designations {
+	table := fleet.Designations{Version: s.Epoch}
+	for _, a := range s.Promotions {
+		table.List = append(table.List, fleet.Designation{Service: a.Service, Server: a.Server, Epoch: a.Epoch, Suspended: a.Suspended, Drain: a.Drain})
+	}
+	slices.SortFunc(table.List, func(a, b fleet.Designation) int { return cmp.Compare(a.Service, b.Service) })
+	return table
+}
+
 func decodeState(data []byte) (*state, error) {
 	s := &state{}
 	if len(data) == 0 {
--- a/entry/proxy/cluster.go
+++ b/entry/proxy/cluster.go
@@ -2,12 +2,14 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lentilwind.dev/lentilwind/database"
 	"lentilwind.dev/lentilwind/fleet"
 	"lentilwind.dev/lentilwind/floor"
 	"lentilwind.dev/lentilwind/group"
+	"lentilwind.dev/lentilwind/succession"
 )
 
 // primaryRefusalPeriod is how long a server that refused to act as the primary is skipped when the primary is looked for.
@@ -15,7 +17,10 @@
 
 // cluster holds the connection pools of one service's databases and what this entry knows of its primary.
 type cluster struct {
-	name group.Service
+	name      group.Service
+	authority *succession.Authority
+	// fencedByLeases means that authority decides which server may be used as the primary.
+	fencedByLeases atomic.Bool
 
 	mu            sync.Mutex
 	pools         map[group.Server]*pool
@@ -30,14 +35,20 @@
 	probing chan struct{}
 }
 
-func newCluster(name group.Service) *cluster {
+func newCluster(name group.Service, authority *succession.Authority) *cluster {
 	return &cluster{
-		name: name, pools: make(map[group.Server]*pool), refusedAt: make(map[group.Server]time.Time), changed: make(chan struct{}),
+		name: name, authority: authority, pools: make(map[group.Server]*pool), refusedAt: make(map[group.Server]time.Time), changed: make(chan struct{}),
 	}
 }
 
 // likelyPrimary returns the pool of the server that is most likely the primary, or nil if there is no candidate.
 func (c *cluster) likelyPrimary(now time.Time) *pool {
+	designated := group.Server("")
+	if c.fencedByLeases.Load() {
+		if designated = c.authority.Primary(c.name, now); designated == "" {
+			return nil
+		}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var best *pool
@@ -45,6 +56,8 @@
 	for id, p := range c.pools {
 		rank := 1
 		switch {
+		case designated != "" && id != designated:
+			continue
 		case now.Sub(c.refusedAt[id]) < primaryRefusalPeriod:
 			continue
 		case id == c.primary:
@@ -62,10 +75,19 @@
 	return best
 }
 
-// confirmPrimary records that a server was the primary, at the given position, when it answered a request sent at the given time.
-func (c *cluster) confirmPrimary(p *pool, position group.Floor, sent time.Time) {
+// confirmPrimary records that a server was the primary, at the given position, when it answered a request sent at the given time. It
+// reports whether the server may still be used as the primary now.
+func (c *cluster) confirmPrimary(p *pool, position group.Floor, sent, now time.Time) bool {
+	if !c.mayLead(p, now) {
+		return false
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.recordProofLocked(p, position, sent)
+	return true
+}
+
+func (c *cluster) recordProofLocked(p *pool, position group.Floor, sent time.Time) {
 	if position.Term < c.confirmations.Newest().Position.Term {
 		return
 	}
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -16,6 +16,7 @@
 	"lentilwind.dev/lentilwind/policy"
 	"lentilwind.dev/lentilwind/queue"
 	"lentilwind.dev/lentilwind/quota"
+	"lentilwind.dev/lentilwind/succession"
 )
 
 // Admission admits operations according to the workspaces' quotas.
@@ -48,6 +49,8 @@
 	clusters atomic.Pointer[map[group.Service]*cluster]
 	entries  atomic.Pointer[entryTable]
 	held     heldConns
+	// authority decides which servers may be used as primaries where only leases fence them.
+	authority *succession.Authority
 	// leaseUntil is the time until which the policy is valid.
 	leaseUntil atomic.Pointer[time.Time]
 	draining   atomic.Bool
@@ -65,6 +68,7 @@
 // New returns a proxy without a policy. It serves requests after SetPolicy, SetRoster and ExtendLease have been called.
 func New(cfg Config) *Proxy {
 	p := &Proxy{cfg: cfg, sessions: make(map[*session]struct{}), watchers: make(map[chan struct{}]struct{})}
+	p.authority = succession.NewAuthority()
 	p.hedges = queue.NewRetryBudget(hedgeRatio, hedgeBurst)
 	p.clusters.Store(&map[group.Service]*cluster{})
 	p.leaseUntil.Store(&time.Time{})
@@ -150,9 +154,12 @@
 	}
 	for name := range currentPolicy.Services {
 		if next[name] == nil {
-			next[name] = newCluster(name)
+			next[name] = newCluster(name, p.authority)
 		}
 	}
+	for name, service := range currentPolicy.Services {
+		next[name].fencedByLeases.Store(service.Fencing == policy.FencedByLeases)
+	}
 	for name, c := range next {
 		limits := func(s fleet.Server) (maxOpen, maxRunning int) { return p.limitsFor(currentPolicy.Services[name], s) }
 		c.update(byService[name], p.roster.Partial, limits, p.cfg.Connector, p.cfg.Now)
--- a/entry/proxy/request.go
+++ b/entry/proxy/request.go
@@ -83,7 +83,7 @@
 				}
 			}
 		}
-		if r.remaining() <= minAttemptTime || overloaded && r.maxQueueWait() <= minQueueWait {
+		if r.remaining() <= minAttemptTime || r.cluster.leaseLapsed(now) || overloaded && r.maxQueueWait() <= minQueueWait {
 			return last
 		}
 		waitForChange(changed, min(maxPrimaryRetryWait, r.remaining()))
@@ -144,14 +144,23 @@
 func (r *request) write() statement.Answer {
 	return r.tryOnPrimary(func(p *pool) (statement.Answer, bool) {
 		sent := r.session.proxy.cfg.Now()
+		write, allowed := r.cluster.beginWrite(p, sent)
+		if !allowed {
+			return failureAnswer(replacedResult())
+		}
 		result, _ := r.attempt(p, r.work(r.remaining(), r.stmt.Statement))
+		now := r.session.proxy.cfg.Now()
+		confirmed := write.end(now)
 		if result.Failure != "" {
 			return failureAnswer(result)
 		}
 		answer := result.Answers[0]
 		switch answer.Outcome {
 		case statement.Done:
-			r.cluster.confirmPrimary(p, answer.Position, sent)
+			if !confirmed {
+				return unconfirmedAnswer(statement.Idle), true
+			}
+			r.cluster.confirmPrimary(p, answer.Position, sent, now)
 			r.session.recordWrite(r.route.Service, answer.Position)
 			return answer, true
 		case statement.Busy:
--- a/entry/proxy/transaction.go
+++ b/entry/proxy/transaction.go
@@ -94,7 +94,7 @@
 	if answer.State != statement.InTransaction {
 		tx.failed = true
 	} else if !tx.readOnly && answer.Outcome == statement.Done {
-		s.proxy.cluster(tx.route.Service).confirmPrimary(tx.pool, answer.Position, sent)
+		s.proxy.cluster(tx.route.Service).confirmPrimary(tx.pool, answer.Position, sent, s.proxy.cfg.Now())
 	}
 	if answer.State == statement.Idle {
 		// The database has ended the transaction, but the client still has to.
@@ -160,7 +160,18 @@
 func (s *session) commit(st statement.Statement) statement.Answer {
 	tx := s.tx
 	sent := s.proxy.cfg.Now()
+	var write primaryWrite
+	cluster := s.proxy.cluster(tx.route.Service)
+	if tx.pool != nil && !tx.readOnly {
+		var allowed bool
+		if write, allowed = cluster.beginWrite(tx.pool, sent); !allowed {
+			s.dropTransactionConn()
+			return statement.FailureAnswer(statement.Aborted, "the primary was replaced before the commit was sent", statement.Idle)
+		}
+	}
 	result, refusal, ok := s.executeInTransaction(resolvedStatement{Statement: st}, true)
+	now := s.proxy.cfg.Now()
+	confirmed := write.end(now)
 	if !ok {
 		refusal.State = statement.Idle
 		return refusal
@@ -177,7 +188,10 @@
 	}
 	answer := result.Answers[0]
 	if answer.Outcome == statement.Done && !tx.readOnly {
-		s.proxy.cluster(tx.route.Service).confirmPrimary(tx.pool, answer.Position, sent)
+		if !confirmed {
+			return unconfirmedAnswer(statement.Idle)
+		}
+		cluster.confirmPrimary(tx.pool, answer.Position, sent, now)
 		s.recordWrite(tx.route.Service, answer.Position)
 	}
 	answer.State = statement.Idle
--- a/entry/renewal/agent.go
+++ b/entry/renewal/agent.go
@@ -31,6 +31,12 @@
 	SetPolicy(next *policy.Policy)
 	SetRoster(roster fleet.Roster)
 	ExtendLease(until time.Time)
+	// Designations returns the newest table of designated primaries that the entry obeys.
+	Designations() fleet.Epoch
+	// SetDesignations obeys a newer table. It returns when no write to a former primary is acknowledged any more.
+	SetDesignations(table fleet.Designations)
+	// ExtendPrimaryLease extends the time until which the designated primaries may be used.
+	ExtendPrimaryLease(until time.Time)
 	Policy() *policy.Policy
 	Reports() []fleet.ServerReport
 	Draining() bool
@@ -175,6 +181,7 @@
 
 func (a *Agent) send(ctx context.Context, address string, relay bool) error {
 	request := fleet.RenewRequest{Roster: a.roster, Wait: maxHold, Reports: a.cfg.State.Reports(), Relay: relay, Entry: a.cfg.Entry}
+	request.Designations = a.cfg.State.Designations()
 	request.Entry.Leaving = a.cfg.State.Draining()
 	if current := a.cfg.State.Policy(); current != nil {
 		request.Version = current.Version
@@ -202,6 +209,13 @@
 		a.controls = reply.Controls
 		a.mu.Unlock()
 	}
+	// The former primaries must be given up before anything else, because control waits for that.
+	if reply.Designations != nil {
+		a.cfg.State.SetDesignations(*reply.Designations)
+	}
+	if reply.PrimaryLease > 0 && (reply.Designations == nil || reply.Designations.Version >= a.cfg.State.Designations()) {
+		a.cfg.State.ExtendPrimaryLease(sent.Add(reply.PrimaryLease))
+	}
 	if reply.Document != nil {
 		next, err := a.cfg.Decode(*reply.Document)
 		if err != nil {
--- a/lentilwind/policy/policy.go
+++ b/lentilwind/policy/policy.go
@@ -46,6 +46,16 @@
 	AllowAnonymous bool
 }
 
+// Fencing says what stops a replaced primary from being used.
+type Fencing string
+
+const (
+	// FencedByServers means that a replaced primary refuses writes from the moment at which its successor leads.
+	FencedByServers Fencing = "servers"
+	// FencedByLeases means that a replaced primary goes on accepting writes. Entries use a primary only while they hold a lease on it.
+	FencedByLeases Fencing = "leases"
+)
+
 // Service is one database group.
 type Service struct {
 	Name group.Service
@@ -53,6 +63,8 @@
 	MaxConnections int
 	// SyncReplicas is the number of replicas that must hold a commit before it is acknowledged.
 	SyncReplicas int
+	// Fencing is FencedByServers if empty.
+	Fencing Fencing
 }
 
 // Policy is one accepted configuration; it must not be modified.
