Let sessions wait for the first configuration after a start

Cause: after a loss of power or a kill of all processes, entries are up about 0.7 s before control has a leader. Change: an entry that started less than 2.5 s ago holds START for at most 1.5 s; later it refuses at once. Test: TestSessionsWaitForTheFirstConfigurationAfterAStart fails without the change.

--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -54,6 +54,10 @@
 	// leaseUntil is the time until which the policy is valid.
 	leaseUntil atomic.Pointer[time.Time]
 	draining   atomic.Bool
+	startedAt  time.Time
+	// configured is closed when the entry has its first configuration and a lease on it.
+	configured     chan struct{}
+	configuredOnce sync.Once
 
 	mu       sync.Mutex
 	sessions map[*session]struct{}
@@ -68,6 +72,7 @@
 // New returns a proxy without a policy. It serves requests after SetPolicy, SetRoster and ExtendLease have been called.
 func New(cfg Config) *Proxy {
 	p := &Proxy{cfg: cfg, sessions: make(map[*session]struct{}), watchers: make(map[chan struct{}]struct{})}
+	p.startedAt, p.configured = cfg.Now(), make(chan struct{})
 	p.authority = succession.NewAuthority()
 	p.hedges = queue.NewRetryBudget(hedgeRatio, hedgeBurst)
 	p.clusters.Store(&map[group.Service]*cluster{})
@@ -172,6 +177,9 @@
 	if current := p.leaseUntil.Load(); until.After(*current) {
 		p.leaseUntil.Store(&until)
 	}
+	if p.policy.Load() != nil && p.hasLease() {
+		p.markConfigured()
+	}
 }
 
 // hasLease reports whether the policy is still valid. Without a lease, a key may have been withdrawn without this entry knowing.
--- a/entry/proxy/proxy_test.go
+++ b/entry/proxy/proxy_test.go
@@ -140,6 +140,48 @@
 	}
 }
 
+// After a restart of all processes, clients reconnect before control has a leader.
+func TestSessionsWaitForTheFirstConfigurationAfterAStart(t *testing.T) {
+	d := newDatabases("a")
+	e := &entry{newUnconfigured(d), t}
+	answers := make(chan statement.Answer, 20)
+	for range cap(answers) {
+		go func() {
+			_, a := e.open("orders", "key")
+			answers <- a
+		}()
+	}
+	time.Sleep(50 * time.Millisecond)
+	select {
+	case a := <-answers:
+		t.Fatalf("a session was answered with %q before the first configuration", a.Outcome)
+	default:
+	}
+	e.SetPolicy(testPolicy(t, 2, "key"))
+	e.ExtendLease(time.Now().Add(time.Minute))
+	for range cap(answers) {
+		select {
+		case a := <-answers:
+			if a.Outcome != statement.Done {
+				t.Errorf("a session that waited was answered with %q", a.Outcome)
+			}
+		case <-time.After(5 * time.Second):
+			t.Fatal("a session was not answered after the first configuration")
+		}
+	}
+}
+
+// An entry that control does not reach after its start refuses at once, after a short time in which control may still come.
+func TestSessionsAreRefusedAtOnceWhenNoConfigurationComes(t *testing.T) {
+	d := newDatabases("a")
+	e := &entry{newUnconfigured(d), t}
+	time.Sleep(2600 * time.Millisecond)
+	start := time.Now()
+	if _, a := e.open("orders", "key"); a.Outcome != statement.Busy || time.Since(start) > time.Second {
+		t.Errorf("the session was answered with %q after %v", a.Outcome, time.Since(start))
+	}
+}
+
 func TestOlderPolicyIsIgnored(t *testing.T) {
 	d := newDatabases("a")
 	e := newEntry(t, "e", d, nil)
--- a/entry/proxy/session.go
+++ b/entry/proxy/session.go
@@ -66,6 +66,7 @@
 		return false
 	}
 	s.database, s.key = database, key
+	s.proxy.awaitConfiguration()
 	answer := statement.SuccessAnswer(statement.Idle)
 	if _, refusal, ok := s.authorize(); !ok {
 		s.logRefusal("", "start", refusal, nil)
