Send changes of the roster and a part of the reports in large fleets

Cause: every start and stop of an entry sent the whole roster (8 KB at 94 entries and 60 databases) to every entry, and each renewal reported all primaries.

--- a/control/coordinator/leadership.go
+++ b/control/coordinator/leadership.go
@@ -274,11 +274,27 @@
 	if slices.Equal(live, l.live) {
 		return
 	}
+	l.roster.entriesChanged(changedEntries(l.live, live))
 	l.live = live
-	l.roster.bumpVersion()
 	l.changed.notify()
 }
 
+// changedEntries returns the names of the entries that differ between two lists.
+func changedEntries(before, after []fleet.Entry) []inventory.InstanceName {
+	var names []inventory.InstanceName
+	for _, e := range before {
+		if !slices.Contains(after, e) {
+			names = append(names, e.Name)
+		}
+	}
+	for _, e := range after {
+		if !slices.Contains(before, e) && !slices.Contains(names, e.Name) {
+			names = append(names, e.Name)
+		}
+	}
+	return names
+}
+
 // renewReply returns the reply to a renewal, whether it contains anything new, and whether this process leads.
 func (l *leaderState) renewReply(request fleet.RenewRequest) (fleet.RenewReply, bool, bool) {
 	if !l.lockIfLeading() {
@@ -301,8 +317,8 @@
 		reply.Document = &document
 	}
 	if version, _ := l.roster.currentVersion(now); version != request.Roster {
-		snapshot := l.roster.snapshot(now, l.live)
-		reply.Roster = &snapshot
+		next := l.roster.since(now, request.Roster, l.live)
+		reply.Roster = &next
 	}
 	hasChanges := reply.Document != nil || reply.Roster != nil || reply.Designations != nil
 	if reply.Document != nil || reply.Roster != nil {
--- a/control/coordinator/roster.go
+++ b/control/coordinator/roster.go
@@ -8,6 +8,7 @@
 
 	"lentilwind.dev/lentilwind/fleet"
 	"lentilwind.dev/lentilwind/group"
+	"lentilwind.dev/lentilwind/inventory"
 	"lentilwind.dev/lentilwind/journal"
 )
 
@@ -18,6 +19,9 @@
 	forgetIntervals = 12
 )
 
+// settledVersion is set in the number of a version of a complete roster.
+const settledVersion = 1 << 32
+
 // serverRecord is one database with the time of its last announcement.
 type serverRecord struct {
 	fleet.Server
@@ -32,6 +36,7 @@
 	version   fleet.RosterVersion
 	startedAt time.Time
 	servers   map[group.Server]serverRecord
+	changes   fleet.ChangeLog
 	// promotedAt is when this leader last promoted a server of a service.
 	promotedAt map[group.Service]time.Time
 }
@@ -82,7 +87,7 @@
 		}
 		old.Gone = true
 		r.servers[s.Name] = old
-		r.version.Number++
+		r.recordChange(s.Name)
 		return true
 	}
 	for name, other := range r.servers {
@@ -95,6 +100,7 @@
 		// The address now belongs to another database, so the former one has stopped.
 		other.Gone = true
 		r.servers[name] = other
+		r.recordChange(name)
 	}
 	if now.Sub(r.promotedAt[s.Service]) < r.announceInterval/2 {
 		// The role in the announcement may be older than the promotion.
@@ -106,10 +112,16 @@
 	if found && before == s {
 		return false
 	}
-	r.version.Number++
+	r.recordChange(s.Name)
 	return true
 }
 
+// recordChange starts a new version in which a server has changed.
+func (r *roster) recordChange(name group.Server) {
+	r.version.Number++
+	r.changes.RecordServer(r.version.Number, name)
+}
+
 // setPrimary marks a database as the primary of its service.
 func (r *roster) setPrimary(now time.Time, service group.Service, server group.Server) {
 	r.mu.Lock()
@@ -117,18 +129,24 @@
 	r.promotedAt[service] = now
 	for name, s := range r.servers {
 		if s.Service == service {
+			if s.Primary == (name == server) {
+				continue
+			}
 			s.Primary = name == server
 			r.servers[name] = s
+			r.recordChange(name)
 		}
 	}
-	r.version.Number++
 }
 
-// bumpVersion creates a new version for a change that does not concern databases.
-func (r *roster) bumpVersion() {
+// entriesChanged starts a new version in which entries have changed.
+func (r *roster) entriesChanged(names []inventory.InstanceName) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.version.Number++
+	for _, name := range names {
+		r.changes.RecordEntry(r.version.Number, name)
+	}
 }
 
 // expire removes databases that have been silent for too long and reports whether there were any.
@@ -139,12 +157,12 @@
 	for name, s := range r.servers {
 		if now.Sub(s.lastAnnounced) > forgetIntervals*r.announceInterval {
 			delete(r.servers, name)
-			changed = changed || !s.Gone
+			if !s.Gone {
+				r.recordChange(name)
+				changed = true
+			}
 		}
 	}
-	if changed {
-		r.version.Number++
-	}
 	return changed
 }
 
@@ -156,7 +174,7 @@
 	version := r.version
 	if settled {
 		// A complete roster needs another version than the partial one.
-		version.Number += 1 << 32
+		version.Number |= settledVersion
 	}
 	return version, settled
 }
@@ -176,6 +194,24 @@
 	return out
 }
 
+// since returns what has changed since a version that an entry has, or the whole roster if that is not known.
+func (r *roster) since(now time.Time, base fleet.RosterVersion, entries []fleet.Entry) fleet.Roster {
+	full := r.snapshot(now, entries)
+	if base.Term != full.Version.Term || base.Number&settledVersion != full.Version.Number&settledVersion {
+		return full
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	unsettled := base
+	unsettled.Number &^= settledVersion
+	delta, ok := r.changes.Delta(unsettled, full)
+	if !ok {
+		return full
+	}
+	delta.Base = base
+	return delta
+}
+
 // liveByService returns the live databases by service.
 func (r *roster) liveByService() map[group.Service][]serverRecord {
 	r.mu.Lock()
--- a/entry/renewal/agent.go
+++ b/entry/renewal/agent.go
@@ -69,7 +69,9 @@
 	unanswered    int
 	cancelRenewal context.CancelFunc
 
-	roster       fleet.RosterVersion
+	roster fleet.Roster
+	// renewals counts the renewals sent.
+	renewals     uint64
 	disconnected bool
 }
 
@@ -179,8 +181,14 @@
 	}
 }
 
+// sampledReports returns the reports that are due in this renewal.
+func (a *Agent) sampledReports() []fleet.ServerReport {
+	a.renewals++
+	return fleet.SampleReports(a.cfg.Entry.Name, a.cfg.State.Reports(), len(a.roster.Entries), a.renewals)
+}
+
 func (a *Agent) send(ctx context.Context, address string, relay bool) error {
-	request := fleet.RenewRequest{Roster: a.roster, Wait: maxHold, Reports: a.cfg.State.Reports(), Relay: relay, Entry: a.cfg.Entry}
+	request := fleet.RenewRequest{Roster: a.roster.Version, Wait: maxHold, Reports: a.sampledReports(), Relay: relay, Entry: a.cfg.Entry}
 	request.Designations = a.cfg.State.Designations()
 	request.Entry.Leaving = a.cfg.State.Draining()
 	if current := a.cfg.State.Policy(); current != nil {
@@ -225,14 +233,25 @@
 		a.cfg.State.SetPolicy(next)
 	}
 	if reply.Roster != nil {
-		a.cfg.State.SetRoster(*reply.Roster)
-		a.roster = reply.Roster.Version
+		a.applyRoster(*reply.Roster)
 	}
 	if current := a.cfg.State.Policy(); current != nil && current.Version >= reply.Version && reply.Version > 0 {
 		a.cfg.State.ExtendLease(sent.Add(reply.Lease))
 	}
 }
 
+// applyRoster applies a roster or a delta. A delta that does not fit makes the agent ask for the whole roster.
+func (a *Agent) applyRoster(received fleet.Roster) {
+	next, ok := a.roster.Apply(received)
+	if !ok {
+		a.cfg.Log.Warn().Uint64("base", received.Base.Number).Uint64("held", a.roster.Version.Number).Msg("rosterDeltaRefused")
+		a.roster = fleet.Roster{}
+		return
+	}
+	a.roster = next
+	a.cfg.State.SetRoster(next)
+}
+
 // Call sends a request to the control leader. It fails at once if no leader is known.
 func (a *Agent) Call(ctx context.Context, attempt time.Duration, kind protocol.Kind, body, reply any) error {
 	a.mu.Lock()
--- a/lentilwind/fleet/fleet.go
+++ b/lentilwind/fleet/fleet.go
@@ -66,6 +66,10 @@
 	Partial bool `cbor:"3,keyasint,omitempty"`
 	// Entries lists the live entries, among which connections to databases are divided.
 	Entries []Entry `cbor:"4,keyasint"`
+	// Base is set in a delta: the roster holds only what has changed since that version, and the names of what was removed.
+	Base           RosterVersion            `cbor:"5,keyasint,omitzero"`
+	RemovedServers []group.Server           `cbor:"6,keyasint,omitempty"`
+	RemovedEntries []inventory.InstanceName `cbor:"7,keyasint,omitempty"`
 }
 
 // Entry is one live entry as it reports itself.
