Replace a silent primary after one probe if entries fail too; leases of 1.1 s

Cause: control needs two probes of 350 ms in a row before it replaces a primary that vanished, about 0.8 s in which all writes of the service wait; entries know it after their first failed statement. In a zone cut the replacement then waits for the leases of the entries behind the cut. Change: one unanswered probe suffices if an entry has reported a failure lately and none a contact within 400 ms. The lease on primaries is 1.1 s, still above an election and the search for the new leader.

--- a/control/coordinator/leadership.go
+++ b/control/coordinator/leadership.go
@@ -27,7 +27,7 @@
 	proposeTimeout   = 2 * time.Second
 	// primaryLease is how long an entry may use the designated primaries without control. It covers the election of a leader. A
 	// replacement waits for it if an entry is silent.
-	primaryLease = 1500 * time.Millisecond
+	primaryLease = 1100 * time.Millisecond
 )
 
 // entryContact holds the last renewal of one entry.
--- a/lentilwind/succession/tracker.go
+++ b/lentilwind/succession/tracker.go
@@ -78,6 +78,8 @@
 	unansweredProbes int
 	// lastEntryContact is the latest time at which any entry got an answer from the primary.
 	lastEntryContact time.Time
+	// lastEntryFailure is the latest time at which any entry reported that the primary does not answer.
+	lastEntryFailure time.Time
 	missingSince     time.Time
 	// replicaAnswers counts the consecutive probes that a replica answered.
 	replicaAnswers int
@@ -124,7 +126,7 @@
 func (t *Tracker) setPrimary(m Member) {
 	t.primary, t.incarnation = m.Server, m.Incarnation
 	t.promotedAt, t.unansweredProbes, t.lastEntryContact, t.isReplica = time.Time{}, 0, time.Time{}, false
-	t.replicaAnswers = 0
+	t.replicaAnswers, t.lastEntryFailure = 0, time.Time{}
 }
 
 // MarkPromoted records that a member was promoted to primary.
@@ -159,7 +161,14 @@
 // HandleEntryReport processes an entry's report of a server: how long before the report the server last answered, for how
 // long it has been failing, and the age of the report.
 func (t *Tracker) HandleEntryReport(now time.Time, server group.Server, sinceAnswer, failingFor, age time.Duration) {
-	if server != t.primary || sinceAnswer == 0 || age > maxReportAge || failingFor > 0 && failingFor < sinceAnswer {
+	if server != t.primary || age > maxReportAge {
+		return
+	}
+	if failingFor > 0 && (sinceAnswer == 0 || failingFor < sinceAnswer) {
+		t.lastEntryFailure = later(t.lastEntryFailure, now.Add(-age))
+		return
+	}
+	if sinceAnswer == 0 {
 		return
 	}
 	if at := now.Add(-sinceAnswer - age); at.After(t.lastEntryContact) {
@@ -188,12 +197,28 @@
 			return ReasonLeaving, true
 		}
 	}
-	if t.unansweredProbes >= unansweredProbeLimit && now.Sub(t.lastEntryContact) > maxEntryContactAge {
+	if t.isSilent(now) {
 		return ReasonSilent, true
 	}
 	return "", false
 }
 
+// isSilent reports whether the primary answers nobody. One unanswered probe suffices if entries report failures too: it saves the timeout of a
+// second one in each outage under load.
+func (t *Tracker) isSilent(now time.Time) bool {
+	if now.Sub(t.lastEntryContact) <= maxEntryContactAge {
+		return false
+	}
+	return t.unansweredProbes >= unansweredProbeLimit || t.unansweredProbes > 0 && now.Sub(t.lastEntryFailure) <= maxReportAge
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // decideMissing reports whether a primary must be promoted because no member has announced itself as one for missingTimeout.
 func (t *Tracker) decideMissing(now time.Time) (Reason, bool) {
 	if len(t.Members) == 0 {
--- a/lentilwind/succession/tracker_test.go
+++ b/lentilwind/succession/tracker_test.go
@@ -42,6 +42,40 @@
 	}
 }
 
+// Under load, entries notice a primary that vanishes before control's second probe has timed out.
+func TestPrimaryThatFailsForEntriesIsReplacedAfterOneProbe(t *testing.T) {
+	s := newTracker()
+	s.Decide(at(0))
+	s.HandleEntryReport(at(0), "a", 10*time.Millisecond, 0, 0)
+	s.HandleProbe("a", at(50), at(400), succession.ProbeNoAnswer)
+	s.HandleEntryReport(at(410), "a", 390*time.Millisecond, 300*time.Millisecond, 10*time.Millisecond)
+	if reason, needed := s.Decide(at(420)); !needed || reason != succession.ReasonSilent {
+		t.Errorf("a primary that fails for control and entries is kept: reason %q", reason)
+	}
+}
+
+// One entry that lost its way to the primary does not replace it while others reach it, nor after one lost probe without reports.
+func TestFailureOfOneEntryKeepsThePrimary(t *testing.T) {
+	s := newTracker()
+	s.Decide(at(0))
+	s.HandleProbe("a", at(50), at(400), succession.ProbeNoAnswer)
+	s.HandleEntryReport(at(410), "a", 390*time.Millisecond, 300*time.Millisecond, 10*time.Millisecond)
+	s.HandleEntryReport(at(410), "a", 5*time.Millisecond, 0, 10*time.Millisecond)
+	if _, needed := s.Decide(at(420)); needed {
+		t.Error("a primary that another entry reaches was replaced")
+	}
+	s = newTracker()
+	s.Decide(at(0))
+	s.HandleEntryReport(at(0), "a", 390*time.Millisecond, 300*time.Millisecond, 0)
+	if _, needed := s.Decide(at(500)); needed {
+		t.Error("a primary that answers control was replaced")
+	}
+	s.HandleProbe("a", at(1000), at(1400), succession.ProbeNoAnswer)
+	if _, needed := s.Decide(at(1410)); needed {
+		t.Error("a primary was replaced on an old report")
+	}
+}
+
 func TestOutdatedAndFailingReportsAreIgnored(t *testing.T) {
 	s := newTracker()
 	s.Decide(at(0))
