--- a/control/internal/command/root.go
+++ b/control/internal/command/root.go
@@ -1,9 +1,12 @@
 package command
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
+	"os/signal"
+	"syscall"
 
 	"github.com/spf13/cobra"
 
@@ -28,7 +31,10 @@
 	root.SetArgs(args)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
-	err := root.Execute()
+	// Signals are handled before the settings are read: one that comes earlier ends the process without handing over.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	err := root.ExecuteContext(ctx)
 	if err == nil {
 		return exitOK
 	}
--- a/control/internal/command/run.go
+++ b/control/internal/command/run.go
@@ -2,8 +2,6 @@
 
 import (
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/spf13/cobra"
 
@@ -13,12 +11,10 @@
 func newRunCommand() *cobra.Command {
 	cmd := &cobra.Command{Use: "run", Short: "Run this control process until SIGTERM or SIGINT"}
 	return withSettings(cmd, func(cmd *cobra.Command, s *settings.Settings) error {
-		ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
-		defer stop()
 		p, err := newProcess(s, os.Stderr)
 		if err != nil {
 			return err
 		}
-		return p.run(ctx)
+		return p.run(cmd.Context())
 	})
 }
