--- a/entry/proxy/startup.go
+++ b/entry/proxy/startup.go
@@ -5,8 +5,8 @@
 const (
 	// startupPeriod is how long after its start an entry expects its first configuration: an election of control takes less.
 	startupPeriod = 2500 * time.Millisecond
-	// maxStartWait is how long a session waits for it. Clients give up after 2 s.
-	maxStartWait = 1500 * time.Millisecond
+	// maxStartWait is how long a session waits for it. A longer wait would use up the deadlines of the requests that follow.
+	maxStartWait = 500 * time.Millisecond
 )
 
 // awaitConfiguration lets a new session wait while this entry has just started and gets its first configuration.
