--- a/entry/proxy/placement.go
+++ b/entry/proxy/placement.go
@@ -30,7 +30,7 @@
 		if entry == p.entries.Load().self {
 			return nil
 		}
-		if entry.usable(now) && !p.cfg.Client.Suspect(entry.info.Address) {
+		if entry.usable(now) {
 			return entry
 		}
 	}
@@ -44,7 +44,7 @@
 		if entry == table.self {
 			return entry.info.Address, true, true
 		}
-		if entry.usable(now) && !p.cfg.Client.Suspect(entry.info.Address) {
+		if entry.usable(now) {
 			return entry.info.Address, false, true
 		}
 	}
--- a/instance/peer/client.go
+++ b/instance/peer/client.go
@@ -25,9 +25,6 @@
 	// after which the connection is closed: long enough for a packet that is lost twice.
 	pingAfter   = 200 * time.Millisecond
 	silentAfter = 700 * time.Millisecond
-	// suspectAfter is how long a ping may be unanswered before the process gets no new work. Less than silentAfter, because work that is
-	// sent elsewhere costs nothing, while a closed connection loses what is in flight.
-	suspectAfter = 150 * time.Millisecond
 	// userTimeout is how long sent data may remain unacknowledged before the kernel closes the connection.
 	userTimeout = 1500 * time.Millisecond
 )
@@ -78,14 +75,6 @@
 	return connection.send(kind, c.name, 0, message)
 }
 
-// Suspect reports whether the process at an address has left a ping unanswered, so that new work should go elsewhere.
-func (c *Client) Suspect(address string) bool {
-	c.mu.Lock()
-	connection := c.conns[address]
-	c.mu.Unlock()
-	return connection != nil && !connection.closed() && connection.suspect()
-}
-
 // Close closes all connections.
 func (c *Client) Close() {
 	c.mu.Lock()
@@ -130,8 +119,6 @@
 	pending map[protocol.RequestID]chan protocol.Frame
 	// lastReceived is the time at which the last frame was received.
 	lastReceived time.Time
-	// pingedAt is the time of the oldest ping since which nothing was received; zero if there is none.
-	pingedAt time.Time
 }
 
 // run connects and reads replies until the connection is closed.
@@ -154,7 +141,7 @@
 		c.mu.Lock()
 		replies := c.pending[frame.ID]
 		delete(c.pending, frame.ID)
-		c.lastReceived, c.pingedAt = time.Now(), time.Time{}
+		c.lastReceived = time.Now()
 		c.mu.Unlock()
 		if replies != nil {
 			replies <- frame
@@ -222,7 +209,6 @@
 			}
 			// The time is taken before the ping is sent, because the answer may arrive before send returns.
 			sent, pinged = time.Now(), true
-			c.recordPing(sent)
 			if err := c.send(kindPing, sender, c.nextID(), struct{}{}); err != nil {
 				continue
 			}
@@ -238,20 +224,6 @@
 	return c.lastID
 }
 
-func (c *conn) recordPing(at time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.pingedAt.IsZero() {
-		c.pingedAt = at
-	}
-}
-
-func (c *conn) suspect() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return !c.pingedAt.IsZero() && time.Since(c.pingedAt) > suspectAfter
-}
-
 // silentSince reports whether no frame has been received since a time.
 func (c *conn) silentSince(at time.Time) bool {
 	c.mu.Lock()
