--- a/entry/quota/group.go
+++ b/entry/quota/group.go
@@ -45,11 +45,11 @@
 	}
 }
 
-// drawFromGroup sends a request to the keeper if one is due. It reports whether the entry is cut off.
+// drawFromGroup sends a request to the keeper if one is due. It reports whether the entry is cut off or its shares are lent.
 func (l *Limiter) drawFromGroup(ctx context.Context) bool {
 	l.mu.Lock()
 	now := l.cfg.Now()
-	if !l.entry.CutOff(now) {
+	if !l.entry.CutOff(now) && !l.entry.Lent(now) {
 		l.mu.Unlock()
 		return false
 	}
--- a/lentilwind/protocol/draw.go
+++ b/lentilwind/protocol/draw.go
@@ -67,10 +67,14 @@
 	// Echo is the newest stamp of this keeper that the entry has received.
 	Echo  KeeperStamp `cbor:"3,keyasint"`
 	Draws []Draw      `cbor:"4,keyasint,omitempty"`
+	// Release takes the shares back, because the entry reaches the leader again.
+	Release bool `cbor:"5,keyasint,omitempty"`
 }
 
 // GroupDrawReply is the keeper's reply; it has a grant for each draw.
 type GroupDrawReply struct {
 	Stamp  KeeperStamp `cbor:"1,keyasint"`
 	Grants []Grant     `cbor:"2,keyasint,omitempty"`
+	// Released means that the keeper has given the shares back.
+	Released bool `cbor:"3,keyasint,omitempty"`
 }
--- a/lentilwind/quota/group.go
+++ b/lentilwind/quota/group.go
@@ -27,6 +27,8 @@
 	run       uint64
 	startedAt time.Time
 	lent      map[inventory.InstanceName]*lentShares
+	// releasedAt is when each entry last took its shares back. A request that was sent before must not lend them again.
+	releasedAt map[inventory.InstanceName]time.Duration
 }
 
 // lentShares are the floor shares of one entry.
@@ -38,7 +40,10 @@
 
 // NewGroupKeeper returns a keeper without shares; run distinguishes the runs of one process.
 func NewGroupKeeper(settings Settings, run uint64, now time.Time) *GroupKeeper {
-	return &GroupKeeper{settings: settings, run: run, startedAt: now, lent: make(map[inventory.InstanceName]*lentShares)}
+	return &GroupKeeper{
+		settings: settings, run: run, startedAt: now,
+		lent: make(map[inventory.InstanceName]*lentShares), releasedAt: make(map[inventory.InstanceName]time.Duration),
+	}
 }
 
 // HandleDraw answers a request of an entry. Limits returns the limits of a workspace.
@@ -53,6 +58,12 @@
 	if request.Echo.Run != k.run {
 		return reply
 	}
+	if request.Release {
+		delete(k.lent, request.Entry)
+		k.releasedAt[request.Entry] = now.Sub(k.startedAt)
+		reply.Released = true
+		return reply
+	}
 	k.renew(request, now)
 	for i, d := range request.Draws {
 		if l, found := limits(d.Workspace); found {
@@ -67,7 +78,7 @@
 	until := k.startedAt.Add(request.Echo.Time + shorten(groupLease))
 	until = until.Add(-lengthen(groupGrantLifetime))
 	shares := k.lent[request.Entry]
-	if !now.Before(until) || request.EntryCount == 0 {
+	if !now.Before(until) || request.EntryCount == 0 || request.Echo.Time < k.releasedAt[request.Entry] {
 		return
 	}
 	if shares == nil || !now.Before(shares.until) || shares.entryCount != int(request.EntryCount) {
@@ -124,7 +135,9 @@
 	// lentUntil is the time until which a keeper may use the shares of this entry, which must neither use them nor prove its contact to the
 	// leader before.
 	lentUntil time.Time
-	nextDraw  time.Time
+	// lentAt is when the shares were last lent, and releasedAt when the keeper gave them back.
+	lentAt, releasedAt time.Time
+	nextDraw           time.Time
 }
 
 // PendingGroupDraw is a request to the keeper that has not been answered yet.
@@ -137,9 +150,12 @@
 
 // NextGroupDraw returns the next request to the keeper, or nil if the entry is not cut off or nothing is due.
 func (e *Entry[V]) NextGroupDraw(now time.Time) *PendingGroupDraw[V] {
-	if !e.settings.GroupShares || !e.CutOff(now) || e.entryCount == 0 {
+	if !e.settings.GroupShares || e.entryCount == 0 || !e.CutOff(now) && !e.Lent(now) {
 		return nil
 	}
+	if !e.CutOff(now) {
+		return e.nextRelease(now)
+	}
 	pending := &PendingGroupDraw[V]{sentAt: now, Request: protocol.GroupDrawRequest{Entry: e.name, EntryCount: uint32(e.entryCount), Echo: e.group.echo}}
 	for name, limiter := range e.limiters {
 		if len(limiter.waiting) > 0 {
@@ -152,17 +168,31 @@
 	}
 	e.group.nextDraw = now.Add(groupRenewal)
 	if e.group.echo.Run != 0 {
-		e.group.lentUntil = now.Add(lengthen(groupLease))
+		e.group.lentAt, e.group.lentUntil = now, now.Add(lengthen(groupLease))
 	}
 	return pending
 }
 
+// nextRelease returns the request that takes the shares back. The leader grants little until it has the proofs of contact that are held back
+// while they are lent.
+func (e *Entry[V]) nextRelease(now time.Time) *PendingGroupDraw[V] {
+	if e.group.releasedAt.After(e.group.lentAt) || e.group.echo.Run == 0 {
+		return nil
+	}
+	request := protocol.GroupDrawRequest{Entry: e.name, EntryCount: uint32(e.entryCount), Echo: e.group.echo, Release: true}
+	return &PendingGroupDraw[V]{sentAt: now, Request: request}
+}
+
 // HandleGroupReply applies the keeper's reply and returns the results of the requests that it admits.
 func (e *Entry[V]) HandleGroupReply(pending *PendingGroupDraw[V], reply *protocol.GroupDrawReply, now time.Time) []Result[V] {
 	if reply.Stamp.Run != e.group.echo.Run {
 		e.group.nextDraw = now
 	}
 	e.group.echo = reply.Stamp
+	if reply.Released && pending.sentAt.After(e.group.lentAt) {
+		// Grants that the keeper made before may still be on their way to other entries.
+		e.group.releasedAt, e.group.lentUntil = now, now.Add(lengthen(groupGrantLifetime))
+	}
 	if len(reply.Grants) != len(pending.waiters) || now.Sub(pending.sentAt) > shorten(groupGrantLifetime) {
 		return nil
 	}
--- a/lentilwind/quota/group_test.go
+++ b/lentilwind/quota/group_test.go
@@ -112,3 +112,60 @@
 		t.Error("a grant was used after its lifetime")
 	}
 }
+
+// After a change of the leader all entries have lent their shares. They take them back at once, so that the new leader grants the whole quota.
+func TestSharesAreTakenBackWhenTheLeaderAnswers(t *testing.T) {
+	e, k, now := lentEntry(t)
+	now = now.Add(10 * time.Millisecond)
+	reply := protocol.DrawReply{Stamp: protocol.LeaderStamp{Term: 2, Time: time.Millisecond}, Shares: 94}
+	draw := e.NextDraw(now)
+	e.HandleReply(draw, &reply, now)
+	pending := e.NextGroupDraw(now)
+	if pending == nil || !pending.Request.Release {
+		t.Fatalf("the shares are not taken back: %+v", pending)
+	}
+	released := k.HandleDraw(&pending.Request, oneWorkspace, now)
+	if k.Entries() != 0 {
+		t.Error("the keeper keeps the shares")
+	}
+	e.HandleGroupReply(pending, &released, now)
+	if !e.Lent(now.Add(60 * time.Millisecond)) {
+		t.Error("the shares are used while grants of the keeper are on their way")
+	}
+	if e.Lent(now.Add(70 * time.Millisecond)) {
+		t.Error("the leader gets no proof of contact after the shares were taken back")
+	}
+}
+
+// A release that the network holds back must not be taken for the end of a later lease.
+func TestLateReleaseDoesNotEndALaterLease(t *testing.T) {
+	e, k, now := lentEntry(t)
+	now = now.Add(time.Millisecond)
+	reply := protocol.DrawReply{Stamp: protocol.LeaderStamp{Term: 2, Time: time.Millisecond}, Shares: 94}
+	e.HandleReply(e.NextDraw(now), &reply, now)
+	release := e.NextGroupDraw(now)
+	released := k.HandleDraw(&release.Request, oneWorkspace, now)
+	later := now.Add(time.Second)
+	pending := e.NextGroupDraw(later)
+	again := k.HandleDraw(&pending.Request, oneWorkspace, later)
+	e.HandleGroupReply(pending, &again, later)
+	e.HandleGroupReply(release, &released, later)
+	if !e.Lent(later.Add(200 * time.Millisecond)) {
+		t.Error("an old release ended a later lease")
+	}
+}
+
+// A request to lend that arrives after the shares were taken back lends nothing.
+func TestOvertakenRequestLendsNothing(t *testing.T) {
+	e, k, now := lentEntry(t)
+	now = now.Add(150 * time.Millisecond)
+	overtaken := e.NextGroupDraw(now)
+	reply := protocol.DrawReply{Stamp: protocol.LeaderStamp{Term: 2, Time: time.Millisecond}, Shares: 94}
+	e.HandleReply(e.NextDraw(now), &reply, now)
+	release := e.NextGroupDraw(now.Add(time.Millisecond))
+	k.HandleDraw(&release.Request, oneWorkspace, now.Add(2*time.Millisecond))
+	k.HandleDraw(&overtaken.Request, oneWorkspace, now.Add(3*time.Millisecond))
+	if k.Entries() != 0 {
+		t.Error("an overtaken request lent the shares again")
+	}
+}
--- a/lentilwind/quota/simulation_test.go
+++ b/lentilwind/quota/simulation_test.go
@@ -208,7 +208,7 @@
 
 // tickGroup draws from the keeper, which is the entry with the number keeperOf.
 func (sim *simulation) tickGroup(node *simEntry, at time.Time) {
-	if node.groupPending != nil && sim.now-node.groupSentAt < drawTimeout/2 || !node.entry.CutOff(at) || sim.keeperOf == nil {
+	if node.groupPending != nil && sim.now-node.groupSentAt < drawTimeout/2 || !node.entry.CutOff(at) && !node.entry.Lent(at) || sim.keeperOf == nil {
 		return
 	}
 	if node.groupPending = nil; sim.now%(10*step) != 0 {
