--- a/entry/quota/group.go
+++ b/entry/quota/group.go
@@ -22,7 +22,8 @@
 	server.Handle(protocol.KindGroupDraw, peer.TypedHandler(
 		func(_ context.Context, _ inventory.InstanceName, request protocol.GroupDrawRequest) (protocol.GroupDrawReply, error) {
 			return l.handleGroupDraw(&request), nil
-		}))
+		},
+	))
 }
 
 func (l *Limiter) handleGroupDraw(request *protocol.GroupDrawRequest) protocol.GroupDrawReply {
