Record the settlement of a promotion before it ends

Cause: the record could be dropped while another proposal was in flight; a later leader would then hold back a failover for up to 12 s. Change: it is proposed and awaited.

--- a/control/coordinator/leasefence.go
+++ b/control/coordinator/leasefence.go
@@ -100,13 +100,22 @@
 	}
 	leads := p.awaitTakeover(ctx, name, best, monitored)
 	if leads && attempts == 1 && err == nil {
-		p.c.leader.recordAsync(ctx, command{Settlement: &settlement{Service: name, Token: journal.Index(token)}})
+		p.settle(ctx, name, token)
 	}
 	p.c.cfg.Log.Info().Str("service", string(name)).Str("server", string(best.Name)).Str("replaces", string(former)).Bool("leads", leads).
 		Str("reason", string(reason)).Bool("inOrder", inOrder).Int64("fenceMs", fencedAt.Sub(start).Milliseconds()).
 		Int64("tookMs", p.c.cfg.Now().Sub(start).Milliseconds()).Msg("promotionEnded")
 }
 
+// settle records that no order of a promotion is outstanding, so that a later leader may choose another server at once.
+func (p *primaryMonitor) settle(ctx context.Context, name group.Service, token uint64) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	if _, err := p.c.propose(ctx, command{Settlement: &settlement{Service: name, Token: journal.Index(token)}}); err != nil {
+		p.c.cfg.Log.Warn().Err(err).Str("service", string(name)).Msg("promotionNotSettled")
+	}
+}
+
 // stopPrimary makes a reachable primary a replica. It returns the primary's last position, and false if the primary has not confirmed.
 func (p *primaryMonitor) stopPrimary(pr *probe, former group.Server) (group.Floor, bool) {
 	term := pr.lastTerm() + 1
