Do not answer a transaction's first statement after the lease on its primary

Cause: found while reading the change: a transaction whose server was replaced while it answered its first statement kept that server and its rows, and its connection was lost from sight. Test: TestTransactionThatOutlastsTheLeaseIsNotAnswered fails without the change.

--- a/entry/proxy/proxy_test.go
+++ b/entry/proxy/proxy_test.go
@@ -10,6 +10,7 @@
 	"lentilwind.dev/instance/peer"
 	"lentilwind.dev/lentilwind/fleet"
 	"lentilwind.dev/lentilwind/group"
+	"lentilwind.dev/lentilwind/policy"
 	"lentilwind.dev/lentilwind/statement"
 )
 
@@ -237,6 +238,67 @@
 	}
 }
 
+// leasedEntry returns an entry before databases that only leases fence, with server a as the primary until the lease ends.
+func leasedEntry(t *testing.T, d *databases, lease time.Duration) *entry {
+	t.Helper()
+	e := newEntry(t, "e", d, nil)
+	p := testPolicy(t, 2, "key")
+	for _, s := range p.Services {
+		s.Fencing = policy.FencedByLeases
+	}
+	e.SetPolicy(p)
+	e.SetDesignations(designated(1, "a"))
+	e.ExtendPrimaryLease(time.Now().Add(lease))
+	return e
+}
+
+func designated(epoch fleet.Epoch, server group.Server) fleet.Designations {
+	return fleet.Designations{Version: epoch, List: []fleet.Designation{{Service: "stock", Server: server, Epoch: epoch}}}
+}
+
+// The lease ends while the first statement of a transaction runs. Its rows may be of a replaced primary, so they must not be answered.
+func TestTransactionThatOutlastsTheLeaseIsNotAnswered(t *testing.T) {
+	d := newDatabases("a", "b")
+	e := leasedEntry(t, d, 150*time.Millisecond)
+	d.update(func(s map[group.Server]*server) { s["a"].slow = 300 * time.Millisecond })
+	c, _ := e.open("orders", "key")
+	c.execute("1", statement.Begin, "BEGIN")
+	if a := c.execute("2", statement.Read, "READ x"); a.Outcome == statement.Done {
+		t.Errorf("the read was answered with %v after the lease", a.Rows)
+	}
+	if a := c.execute("3", statement.Commit, "COMMIT"); a.Outcome == statement.Done {
+		t.Error("the transaction was committed after the lease")
+	}
+}
+
+// Another server is designated while a read of the newest state runs on the former primary. The read is repeated there.
+func TestReadIsRepeatedOnTheSuccessor(t *testing.T) {
+	d := newDatabases("a", "b")
+	e := leasedEntry(t, d, time.Minute)
+	d.update(func(s map[group.Server]*server) { s["a"].slow, s["b"].primary = 200*time.Millisecond, true })
+	c, _ := e.open("orders", "key")
+	time.AfterFunc(100*time.Millisecond, func() { e.SetDesignations(designated(2, "b")) })
+	if a := c.execute("1", statement.Read, "READ x"); a.Outcome != statement.Done || a.Rows[0] != "b" {
+		t.Errorf("the read was answered with %q, %v", a.Outcome, a.Rows)
+	}
+}
+
+// A suspended primary may be replaced at any moment.
+func TestNoWriteIsSentToARevokedPrimary(t *testing.T) {
+	d := newDatabases("a", "b")
+	e := leasedEntry(t, d, time.Minute)
+	c, _ := e.open("orders", "key")
+	if a := c.execute("1", statement.Write, "WRITE x 1"); a.Outcome != statement.Done {
+		t.Fatalf("the write was answered with %q: %s", a.Outcome, a.Detail)
+	}
+	suspended := designated(2, "a")
+	suspended.List[0].Suspended = true
+	e.SetDesignations(suspended)
+	if a := c.execute("2", statement.Write, "WRITE x 2"); a.Outcome == statement.Done || d.runCount("2") != 0 {
+		t.Errorf("a write at a suspended primary was answered with %q and ran %d times", a.Outcome, d.runCount("2"))
+	}
+}
+
 func TestDrainEndsIdleSessionsAndLetsTransactionsFinish(t *testing.T) {
 	d := newDatabases("a")
 	e := newEntry(t, "e", d, nil)
--- a/entry/proxy/transaction.go
+++ b/entry/proxy/transaction.go
@@ -243,6 +243,11 @@
 		if begun && confirmed {
 			return statement.Answer{}, true
 		}
+		if begun {
+			// The server was replaced while it answered. Its transaction is rolled back.
+			t.session.dropTransactionConn()
+			t.tx.pool, t.tx.owner = nil, nil
+		}
 		return refusal, !refusal.Outcome.NotRun()
 	})
 	return t.result, answer, t.tx.pool != nil
