entry: IDs of held connections never repeat after a restart

What callers saw: an entry that held the connections of other entries' transactions was killed and started again. The next statements of those transactions, and their commits, ran in new transactions of other clients and workspaces, and were answered with success.

Cause: held connections were numbered from 1 in each run of an entry, and other entries named them by this number alone.

Change: forward.HeldID is a random number of 64 bits, and work on a held connection, rollback and close included, must name the workspace that the connection was opened for.

--- a/entry/proxy/executor.go
+++ b/entry/proxy/executor.go
@@ -21,8 +21,6 @@
 	forwardOverhead = 60 * time.Millisecond
 	// entryDownPeriod is how long an entry that did not answer gets no work.
 	entryDownPeriod = 600 * time.Millisecond
-	// heldConnGrace is added to the idle limit of transactions before a held connection is closed.
-	heldConnGrace = time.Second
 )
 
 // beginReadWrite opens a transaction that only a primary accepts, and rollbackInternal ends it.
@@ -31,76 +29,6 @@
 	rollbackInternal = statement.Statement{ID: statement.ProxyID, Verb: statement.Rollback}
 )
 
-// heldConn is a connection that an open transaction keeps.
-type heldConn struct {
-	conn     *pooledConn
-	lastUsed time.Time
-	inUse    bool
-}
-
-// heldConns holds the connections of open transactions, whose sessions may be at this entry or at others.
-type heldConns struct {
-	mu     sync.Mutex
-	lastID uint64
-	byID   map[uint64]*heldConn
-}
-
-// add stores a connection and returns its ID.
-func (h *heldConns) add(conn *pooledConn, now time.Time) uint64 {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.lastID++
-	h.byID[h.lastID] = &heldConn{conn: conn, lastUsed: now}
-	return h.lastID
-}
-
-// checkOut reserves a connection for one piece of work. It returns nil if the connection is gone or in use.
-func (h *heldConns) checkOut(id uint64) *pooledConn {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	held := h.byID[id]
-	if held == nil || held.inUse {
-		return nil
-	}
-	held.inUse = true
-	return held.conn
-}
-
-// checkIn makes a connection available for the next work of its transaction.
-func (h *heldConns) checkIn(id uint64, now time.Time) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if held := h.byID[id]; held != nil {
-		held.inUse, held.lastUsed = false, now
-	}
-}
-
-func (h *heldConns) remove(id uint64) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	delete(h.byID, id)
-}
-
-// expire removes and returns the connections whose transactions have been idle for longer than the limit.
-func (h *heldConns) expire(now time.Time, limit time.Duration) []*pooledConn {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	var expired []*pooledConn
-	for id, held := range h.byID {
-		if !held.inUse && now.Sub(held.lastUsed) > limit {
-			expired = append(expired, held.conn)
-			delete(h.byID, id)
-		}
-	}
-	return expired
-}
-
-func (h *heldConns) len() int {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return len(h.byID)
-}
-
 func failureResult(failure forward.Failure, detail string) forward.Result {
 	return forward.Result{Failure: failure, Detail: detail}
 }
@@ -153,8 +81,9 @@
 
 // runOnHeldConn runs work on the connection of an open transaction.
 func (p *Proxy) runOnHeldConn(work forward.Work, deadline time.Time) forward.Result {
-	conn := p.held.checkOut(work.HeldConnection)
-	if conn == nil {
+	conn, refusal := p.held.checkOut(work.HeldConnection, work.Workspace)
+	if refusal != "" {
+		p.logHeldRefusal(work, refusal)
 		return failureResult(forward.NotSent, "the transaction's connection is gone")
 	}
 	if work.CloseHeld {
@@ -296,8 +225,8 @@
 }
 
 // dropHeldConn closes the connection of an open transaction, which rolls the transaction back.
-func (p *Proxy) dropHeldConn(owner *peerEntry, heldID uint64) {
-	work := forward.Work{HeldConnection: heldID, CloseHeld: true, Timeout: setupTimeout}
+func (p *Proxy) dropHeldConn(owner *peerEntry, workspace inventory.WorkspaceName, heldID forward.HeldID) {
+	work := forward.Work{Workspace: workspace, HeldConnection: heldID, CloseHeld: true, Timeout: setupTimeout}
 	if owner == nil {
 		p.runLocal(work)
 		return
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -11,6 +11,7 @@
 	"lentilwind.dev/instance/peer"
 	"lentilwind.dev/lentilwind/database"
 	"lentilwind.dev/lentilwind/fleet"
+	"lentilwind.dev/lentilwind/forward"
 	"lentilwind.dev/lentilwind/group"
 	"lentilwind.dev/lentilwind/inventory"
 	"lentilwind.dev/lentilwind/policy"
@@ -78,7 +79,7 @@
 	p.clusters.Store(&map[group.Service]*cluster{})
 	p.leaseUntil.Store(&time.Time{})
 	p.entries.Store(&entryTable{})
-	p.held.byID = make(map[uint64]*heldConn)
+	p.held.byID = make(map[forward.HeldID]*heldConn)
 	return p
 }
 
--- a/entry/proxy/proxy_test.go
+++ b/entry/proxy/proxy_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"net"
 	"testing"
 	"time"
 
-	"lentilwind.dev/instance/logs"
 	"lentilwind.dev/instance/peer"
 	"lentilwind.dev/lentilwind/fleet"
 	"lentilwind.dev/lentilwind/group"
@@ -196,21 +194,12 @@
 // Work runs at the entry that owns a workspace's connections, and locally once that entry is gone.
 func TestWorkIsForwardedToConnectionOwner(t *testing.T) {
 	d := newDatabases("a")
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	owner := newEntry(t, "home", d, nil)
-	server := peer.NewServer("home", logs.Discard())
-	owner.Register(server)
-	ctx, stop := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- server.Serve(ctx, listener) }()
-
+	address, stop := owner.servePeers("127.0.0.1:0")
 	client := peer.NewClient("far")
 	defer client.Close()
 	remote := newEntry(t, "far", d, client)
-	entries := []fleet.Entry{{Name: "home", DataCentre: "near", Address: listener.Addr().String()}}
+	entries := []fleet.Entry{{Name: "home", DataCentre: "near", Address: address}}
 	remote.SetRoster(newRoster(d, entries...))
 	owner.SetRoster(newRoster(d, entries...))
 	ownerSession, _ := owner.open("orders", "key")
@@ -228,9 +217,6 @@
 		t.Errorf("%d connections were opened for one workspace that writes one at a time", d.opened)
 	}
 	stop()
-	if err := <-done; err != nil {
-		t.Error(err)
-	}
 	for end := time.Now().Add(20 * time.Second); remoteSession.execute("6", statement.Write, "WRITE x 4").Outcome != statement.Done; {
 		if time.Now().After(end) {
 			t.Fatal("no request was served after the owner had stopped")
--- a/entry/proxy/request_log.go
+++ b/entry/proxy/request_log.go
@@ -6,6 +6,7 @@
 	"time"
 
 	admission "lentilwind.dev/entry/quota"
+	"lentilwind.dev/lentilwind/forward"
 	"lentilwind.dev/lentilwind/group"
 	"lentilwind.dev/lentilwind/policy"
 	"lentilwind.dev/lentilwind/statement"
@@ -94,6 +95,21 @@
 		Int64("leaseLeftMs", p.leaseUntil.Load().Sub(now).Milliseconds()).Uint64("folded", suppressed).Msg("requestRefused")
 }
 
+// logHeldRefusal logs work on a held connection that was refused, with the statement that was to run.
+func (p *Proxy) logHeldRefusal(work forward.Work, refusal heldRefusal) {
+	id := statement.ProxyID
+	if len(work.Statements) > 0 {
+		id = work.Statements[0].ID
+	}
+	p.counters.mu.Lock()
+	allowed, suppressed := p.counters.allowLine(p.cfg.Now())
+	p.counters.mu.Unlock()
+	if allowed {
+		p.cfg.Log.Info().Str("request", string(id)).Str("workspace", string(work.Workspace)).Str("reason", string(refusal)).
+			Uint64("folded", suppressed).Msg("heldConnectionRefused")
+	}
+}
+
 // takePreceding returns and clears the statements that preceded an operation.
 func (s *session) takePreceding() []string {
 	ids := make([]string, len(s.preceding))
--- a/entry/proxy/transaction.go
+++ b/entry/proxy/transaction.go
@@ -17,7 +17,7 @@
 	pool *pool
 	// owner is the entry that holds the connection, or nil for this entry. heldID identifies the connection there; 0 means that there is none.
 	owner  *peerEntry
-	heldID uint64
+	heldID forward.HeldID
 	// failed is set when the transaction can only be rolled back.
 	failed   bool
 	attempts int
@@ -45,7 +45,7 @@
 // dropTransactionConn closes the connection of the transaction, so that the database rolls it back.
 func (s *session) dropTransactionConn() {
 	if s.tx.heldID != 0 {
-		s.proxy.dropHeldConn(s.tx.owner, s.tx.heldID)
+		s.proxy.dropHeldConn(s.tx.owner, s.workspace, s.tx.heldID)
 		s.tx.heldID = 0
 	}
 }
@@ -149,7 +149,8 @@
 	tx := s.tx
 	if tx.heldID != 0 {
 		s.proxy.continueTransaction(tx.owner, forward.Work{
-			Values: s.values, Statements: []statement.Statement{rollbackInternal}, HeldConnection: tx.heldID, ReleaseHeld: true, Timeout: setupTimeout,
+			Workspace: s.workspace, Values: s.values, Statements: []statement.Statement{rollbackInternal}, HeldConnection: tx.heldID,
+			ReleaseHeld: true, Timeout: setupTimeout,
 		})
 		tx.heldID = 0
 	}
--- a/lentilwind/forward/forward.go
+++ b/lentilwind/forward/forward.go
@@ -18,6 +18,9 @@
 	Text     string `cbor:"2,keyasint"`
 }
 
+// HeldID identifies a held connection; 0 stands for none. IDs of different runs of an entry differ.
+type HeldID uint64
+
 // Work is a sequence of statements to run on one connection to a database.
 type Work struct {
 	Service   group.Service           `cbor:"1,keyasint"`
@@ -34,7 +37,7 @@
 	// HoldConnection holds the connection for further work of the transaction.
 	HoldConnection bool `cbor:"8,keyasint,omitempty"`
 	// HeldConnection identifies the held connection to use.
-	HeldConnection uint64 `cbor:"9,keyasint,omitempty"`
+	HeldConnection HeldID `cbor:"9,keyasint,omitempty"`
 	// ReleaseHeld returns a held connection to the pool. CloseHeld closes it, which rolls back the transaction.
 	ReleaseHeld bool `cbor:"10,keyasint,omitempty"`
 	CloseHeld   bool `cbor:"11,keyasint,omitempty"`
@@ -69,7 +72,7 @@
 	Failure Failure `cbor:"3,keyasint,omitempty"`
 	Detail  string  `cbor:"4,keyasint,omitempty"`
 	// HeldConnection identifies the held connection; 0 if there is none.
-	HeldConnection uint64 `cbor:"5,keyasint,omitempty"`
+	HeldConnection HeldID `cbor:"5,keyasint,omitempty"`
 	// Load is the number of Works that run or wait for the database at the sender.
 	Load int `cbor:"6,keyasint,omitempty"`
 }
