protocol, control: whatever is journalled can be read back

What callers saw: a heartbeat whose id was no UTF-8 was acknowledged. All voting control processes then ended at each start, the acknowledged configuration was not read back any more, and entries refused all work when their leases had ended.

Cause: texts of any bytes were encoded, but only UTF-8 was decoded.

Evidence: the last line of the processes ("entry 8: ... cbor: invalid UTF-8 string").

--- a/control/coordinator/propose.go
+++ b/control/coordinator/propose.go
@@ -41,7 +41,7 @@
 
 // propose submits a command and returns its index once it is committed and applied.
 func (c *Coordinator) propose(ctx context.Context, cmd command) (journal.Index, error) {
-	data, err := protocol.Encode(cmd)
+	data, err := protocol.EncodeStored(cmd)
 	if err != nil {
 		return 0, err
 	}
--- a/control/coordinator/service.go
+++ b/control/coordinator/service.go
@@ -26,6 +26,9 @@
 	server.Handle(fleet.KindRenew, peer.TypedHandler(c.leader.handleRenew))
 	server.Handle(fleet.KindRegister, peer.TypedHandler(c.handleRegister))
 	server.Handle(fleet.KindAnnounce, peer.TypedHandler(func(_ context.Context, _ inventory.InstanceName, s fleet.Server) (fleet.Empty, error) {
+		if err := s.Check(); err != nil {
+			return fleet.Empty{}, &protocol.Refusal{Code: protocol.CodeInvalid, Message: err.Error()}
+		}
 		if !c.leader.announceServer(s) {
 			return fleet.Empty{}, c.notLeaderRefusal()
 		}
@@ -53,8 +56,12 @@
 	return nil
 }
 
-// Announce passes a database's announcement to the leader; a nil error means that the leader has recorded it.
+// Announce passes a database's announcement to the leader; a nil error means that the leader has recorded it, and fleet.ErrInvalidServer
+// that it can't be recorded.
 func (c *Coordinator) Announce(ctx context.Context, s fleet.Server) error {
+	if err := s.Check(); err != nil {
+		return err
+	}
 	if c.leader.announceServer(s) {
 		return nil
 	}
--- a/control/internal/replica/propose.go
+++ b/control/internal/replica/propose.go
@@ -28,7 +28,7 @@
 
 // Propose returns the result of a command once a majority holds it and it has been applied.
 func (r *Replica) Propose(ctx context.Context, command catalog.Command) (catalog.Result, error) {
-	data, err := protocol.Encode(command)
+	data, err := protocol.EncodeStored(command)
 	if err != nil {
 		return catalog.Result{}, err
 	}
--- a/entry/proxy/held_test.go
+++ b/entry/proxy/held_test.go
@@ -10,6 +10,7 @@
 	"lentilwind.dev/instance/peer"
 	"lentilwind.dev/lentilwind/fleet"
 	"lentilwind.dev/lentilwind/forward"
+	"lentilwind.dev/lentilwind/group"
 	"lentilwind.dev/lentilwind/statement"
 )
 
@@ -105,3 +106,29 @@
 		t.Error("work of another workspace ran in the transaction")
 	}
 }
+
+// Guards against an answer of unknown outcome, and a pause of all forwarding, for a statement whose text is not UTF-8.
+func TestStatementOfAnyBytesIsForwarded(t *testing.T) {
+	d := newDatabases("a")
+	client := peer.NewClient("far")
+	defer client.Close()
+	address, stop := newEntry(t, "home", d, nil).servePeers("127.0.0.1:0")
+	defer stop()
+	remote := newEntry(t, "far", d, client)
+	remote.SetRoster(newRoster(d, fleet.Entry{Name: "home", DataCentre: "near", Address: address}))
+	c, _ := remote.open("orders", "key")
+	const text = "WRITE x \xff\xfe"
+	if a := c.execute("w1", statement.Write, text); a.Outcome != statement.Done {
+		t.Errorf("the write was answered with %q: %s", a.Outcome, a.Detail)
+	}
+	d.update(func(servers map[group.Server]*server) {
+		for _, st := range servers["a"].executed {
+			if st.ID == "w1" && st.Text != text {
+				t.Errorf("the database received %q", st.Text)
+			}
+		}
+	})
+	if n := d.runCount("w1"); n != 1 {
+		t.Errorf("the write ran %d times", n)
+	}
+}
--- a/lentilwind/protocol/frame.go
+++ b/lentilwind/protocol/frame.go
@@ -68,7 +68,9 @@
 // ErrMalformedFrame is wrapped by every error about a malformed frame.
 var ErrMalformedFrame = errors.New("protocol: malformed frame")
 
+// decMode accepts any bytes in texts, as the encoder does: callers' statements and the names that databases announce are passed on as they are.
 var decMode = mustDecMode(cbor.DecOptions{
+	UTF8:             cbor.UTF8DecodeInvalid,
 	MaxNestedLevels:  32,
 	MaxArrayElements: 1 << 20,
 	MaxMapPairs:      1 << 20,
@@ -92,6 +94,18 @@
 	return data, nil
 }
 
+// EncodeStored encodes a body that is read back later, such as an entry of a journal, and returns an error if Decode would refuse it.
+func EncodeStored[T any](body T) ([]byte, error) {
+	data, err := Encode(body)
+	if err != nil {
+		return nil, err
+	}
+	if err := Decode(data, new(T)); err != nil {
+		return nil, fmt.Errorf("protocol: %T cannot be read back: %w", body, err)
+	}
+	return data, nil
+}
+
 // Decode decodes a message body from CBOR.
 func Decode(data []byte, body any) error {
 	if err := decMode.Unmarshal(data, body); err != nil {
