entry: the commit of a transaction that wrote nothing proves no lead

What callers saw: after a failover, reads on bounded routes returned values older than the bound, at an entry where a client committed a transaction that it had opened on the former primary and that had written nothing.

Cause: every successful commit counted as a proof that its server led. Databases do not check their lead for this one, so the position of the former primary became the floor of reads for the whole bound.

Change: a commit counts, and raises the session's floor, only if a write of the transaction succeeded. Statements of the transaction remain proofs, because a replaced server refuses them.

--- a/entry/proxy/cluster.go
+++ b/entry/proxy/cluster.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"lentilwind.dev/lentilwind/database"
 	"lentilwind.dev/lentilwind/fleet"
 	"lentilwind.dev/lentilwind/floor"
@@ -19,14 +21,16 @@
 type cluster struct {
 	name      group.Service
 	authority *succession.Authority
+	log       *log.Logger
 	// fencedByLeases means that authority decides which server may be used as the primary.
 	fencedByLeases atomic.Bool
 
 	mu            sync.Mutex
 	pools         map[group.Server]*pool
 	confirmations floor.ProofHistory
-	// primary is the server that was last confirmed as the primary.
-	primary group.Server
+	// primary is the server that was last confirmed as the primary, unless it has refused to act as one since. lastConfirmed still names it
+	// then.
+	primary, lastConfirmed group.Server
 	// refusedAt holds the time at which each server last refused to act as the primary.
 	refusedAt map[group.Server]time.Time
 	// changed is closed when the roster or the primary changes.
@@ -35,9 +39,9 @@
 	probing chan struct{}
 }
 
-func newCluster(name group.Service, authority *succession.Authority) *cluster {
+func newCluster(name group.Service, authority *succession.Authority, logger *log.Logger) *cluster {
 	return &cluster{
-		name: name, authority: authority, pools: make(map[group.Server]*pool), refusedAt: make(map[group.Server]time.Time), changed: make(chan struct{}),
+		name: name, authority: authority, log: logger, pools: make(map[group.Server]*pool), refusedAt: make(map[group.Server]time.Time), changed: make(chan struct{}),
 	}
 }
 
@@ -75,28 +79,41 @@
 	return best
 }
 
+// proof is a kind of answer that only a server that leads gives.
+type proof string
+
+// Kinds of proofs. A commit is one only if the transaction wrote: databases commit any other without a look at their lead.
+const (
+	proofBegin     proof = "begin"
+	proofStatement proof = "statement"
+	proofWrite     proof = "write"
+	proofCommit    proof = "commit"
+)
+
 // confirmPrimary records that a server was the primary, at the given position, when it answered a request sent at the given time. It
 // reports whether the server may still be used as the primary now.
-func (c *cluster) confirmPrimary(p *pool, position group.Floor, sent, now time.Time) bool {
+func (c *cluster) confirmPrimary(p *pool, by proof, position group.Floor, sent, now time.Time) bool {
 	if !c.mayLead(p, now) {
 		return false
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.recordProofLocked(p, position, sent)
-	return true
-}
-
-func (c *cluster) recordProofLocked(p *pool, position group.Floor, sent time.Time) {
 	if position.Term < c.confirmations.Newest().Position.Term {
-		return
+		return true
 	}
 	c.confirmations.Observe(position, sent)
-	delete(c.refusedAt, p.serverName())
-	if c.primary != p.serverName() {
-		c.primary = p.serverName()
+	server := p.serverName()
+	delete(c.refusedAt, server)
+	if c.primary != server {
+		c.primary = server
 		c.notify()
 	}
+	if c.lastConfirmed != server {
+		c.log.Info().Str("service", string(c.name)).Str("server", string(server)).Str("replaces", string(c.lastConfirmed)).Str("by", string(by)).
+			Uint64("term", uint64(position.Term)).Uint64("position", uint64(position.Position)).Msg("primaryConfirmed")
+		c.lastConfirmed = server
+	}
+	return true
 }
 
 // markNotPrimary records that a server refused to act as the primary.
--- a/entry/proxy/fake_test.go
+++ b/entry/proxy/fake_test.go
@@ -236,6 +236,9 @@
 	return &entry{p, t}
 }
 
+// testStaleness is the staleness bound of the routes under test.
+const testStaleness = 2 * time.Second
+
 func testPolicy(t *testing.T, version policy.Version, keys ...string) *policy.Policy {
 	t.Helper()
 	b := policy.NewBuilder(version)
@@ -243,7 +246,7 @@
 	for name, consistency := range map[policy.Database]policy.Consistency{"orders": policy.Strong, "counts": policy.ReadYourWrites, "shelves": policy.BoundedStaleness} {
 		b.AddRoute(policy.Route{
 			Database: name, Service: "stock", Consistency: consistency, Timeout: time.Second, TargetLatency: 300 * time.Millisecond, MaxAttempts: 2,
-			MaxStaleness: 2 * time.Second, AllowAnonymous: name == "shelves",
+			MaxStaleness: testStaleness, AllowAnonymous: name == "shelves",
 		})
 	}
 	b.AddWorkspace(policy.Workspace{Name: "pottery", Keys: keys, Rate: 100, Burst: 100})
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -160,7 +160,7 @@
 	}
 	for name := range currentPolicy.Services {
 		if next[name] == nil {
-			next[name] = newCluster(name, p.authority)
+			next[name] = newCluster(name, p.authority, p.cfg.Log)
 		}
 	}
 	for name, service := range currentPolicy.Services {
--- a/entry/proxy/proxy_test.go
+++ b/entry/proxy/proxy_test.go
@@ -98,6 +98,30 @@
 	}
 }
 
+// Guards against stale reads after a failover: databases commit a transaction that wrote nothing also when they have been replaced.
+func TestCommitWithoutWritesProvesNoPrimary(t *testing.T) {
+	d := newDatabases("a", "b", "c")
+	e := newEntry(t, "e", d, nil)
+	tx, _ := e.open("orders", "key")
+	tx.execute("1", statement.Begin, "BEGIN")
+	if a := tx.execute("2", statement.Read, "READ x"); a.Outcome != statement.Done {
+		t.Fatalf("the read was answered with %q: %s", a.Outcome, a.Detail)
+	}
+	proved := time.Now()
+	d.update(func(s map[group.Server]*server) { s["a"].primary, s["b"].primary, s["b"].position = false, true, 7 })
+	time.Sleep(testStaleness / 2)
+	if a := tx.execute("3", statement.Commit, "COMMIT"); a.Outcome != statement.Done {
+		t.Errorf("the commit was answered with %q: %s", a.Outcome, a.Detail)
+	}
+	time.Sleep(time.Until(proved.Add(testStaleness)))
+	bounded, _ := e.open("shelves", "")
+	for range 20 {
+		if a := bounded.execute("4", statement.Read, "READ x"); a.Outcome != statement.Done || a.Rows[0] != "b" {
+			t.Fatalf("a bounded read was answered with %q by %v, which lack the successor's write", a.Outcome, a.Rows)
+		}
+	}
+}
+
 func TestWithdrawnKeyIsRefusedAndOpenRouteNeedsNoKey(t *testing.T) {
 	d := newDatabases("a", "b")
 	e := newEntry(t, "e", d, nil)
--- a/entry/proxy/read.go
+++ b/entry/proxy/read.go
@@ -68,7 +68,7 @@
 	if result.BeginAnswer.Outcome != statement.Done {
 		return *result.BeginAnswer, false
 	}
-	if !r.cluster.confirmPrimary(p, result.BeginAnswer.Position, sent, r.session.proxy.cfg.Now()) {
+	if !r.cluster.confirmPrimary(p, proofBegin, result.BeginAnswer.Position, sent, r.session.proxy.cfg.Now()) {
 		return statement.FailureAnswer(statement.Busy, "the primary is being replaced", statement.Idle), false
 	}
 	return statement.Answer{}, true
--- a/entry/proxy/request.go
+++ b/entry/proxy/request.go
@@ -160,7 +160,7 @@
 			if !confirmed {
 				return unconfirmedAnswer(statement.Idle), true
 			}
-			r.cluster.confirmPrimary(p, answer.Position, sent, now)
+			r.cluster.confirmPrimary(p, proofWrite, answer.Position, sent, now)
 			r.session.recordWrite(r.route.Service, answer.Position)
 			return answer, true
 		case statement.Busy:
--- a/entry/proxy/transaction.go
+++ b/entry/proxy/transaction.go
@@ -19,7 +19,9 @@
 	owner  *peerEntry
 	heldID forward.HeldID
 	// failed is set when the transaction can only be rolled back.
-	failed   bool
+	failed bool
+	// wrote is set when a write of the transaction has succeeded.
+	wrote    bool
 	attempts int
 }
 
@@ -91,10 +93,11 @@
 		return tx.fail(statement.FailureAnswer(statement.Aborted, "the database has not answered; its transaction is rolled back", statement.Failed))
 	}
 	answer := result.Answers[0]
+	tx.wrote = tx.wrote || !stmt.readOnly && answer.Outcome == statement.Done
 	if answer.State != statement.InTransaction {
 		tx.failed = true
 	} else if !tx.readOnly && answer.Outcome == statement.Done {
-		s.proxy.cluster(tx.route.Service).confirmPrimary(tx.pool, answer.Position, sent, s.proxy.cfg.Now())
+		s.proxy.cluster(tx.route.Service).confirmPrimary(tx.pool, proofStatement, answer.Position, sent, s.proxy.cfg.Now())
 	}
 	if answer.State == statement.Idle {
 		// The database has ended the transaction, but the client still has to.
@@ -192,8 +195,10 @@
 		if !confirmed {
 			return unconfirmedAnswer(statement.Idle)
 		}
-		cluster.confirmPrimary(tx.pool, answer.Position, sent, now)
-		s.recordWrite(tx.route.Service, answer.Position)
+		if tx.wrote {
+			cluster.confirmPrimary(tx.pool, proofCommit, answer.Position, sent, now)
+			s.recordWrite(tx.route.Service, answer.Position)
+		}
 	}
 	answer.State = statement.Idle
 	return answer
