entry: keys are checked at each statement of a transaction

What callers saw: statements and the commit of an open transaction ran up to 9 s after the acknowledgement of a configuration that had taken its key away; 5 s are allowed.

Cause: the key and the lease on the configuration were checked at the start of an operation only, and a transaction is one operation.

Change: each statement that a database is to run, the commit included, is preceded by the check. A withdrawn key is answered with NOAUTH, a lost lease with ABORTED; the transaction is rolled back at once.

--- a/entry/proxy/proxy_test.go
+++ b/entry/proxy/proxy_test.go
@@ -148,6 +148,77 @@
 	}
 }
 
+// openTransaction starts a session and a transaction that has written.
+func (e *entry) openTransaction(database policy.Database, key string) *clientConn {
+	e.t.Helper()
+	c, _ := e.open(database, key)
+	c.execute("begin", statement.Begin, "BEGIN")
+	if a := c.execute("first", statement.Write, "WRITE x 1"); a.Outcome != statement.Done {
+		e.t.Fatalf("the write was answered with %q: %s", a.Outcome, a.Detail)
+	}
+	return c
+}
+
+// Guards against statements and commits that run with a withdrawn key, because their transaction was opened before.
+func TestWithdrawnKeyEndsOpenTransactions(t *testing.T) {
+	d := newDatabases("a")
+	e := newEntry(t, "e", d, nil)
+	writer, committer := e.openTransaction("orders", "key"), e.openTransaction("orders", "key")
+	e.SetPolicy(testPolicy(t, 2, "another"))
+	if a := writer.execute("1", statement.Write, "WRITE x 2"); a.Outcome != statement.BadKey || a.State != statement.Failed {
+		t.Errorf("a write with a withdrawn key was answered with %q in state %q", a.Outcome, a.State)
+	}
+	if a := writer.execute("2", statement.Commit, "COMMIT"); a.Outcome != statement.Aborted || a.State != statement.Idle {
+		t.Errorf("the commit of the failed transaction was answered with %q in state %q", a.Outcome, a.State)
+	}
+	if a := committer.execute("3", statement.Commit, "COMMIT"); a.Outcome != statement.BadKey || a.State != statement.Idle {
+		t.Errorf("a commit with a withdrawn key was answered with %q in state %q", a.Outcome, a.State)
+	}
+	if a := committer.execute("4", statement.Begin, "BEGIN"); a.Outcome != statement.BadKey {
+		t.Errorf("the next transaction was answered with %q", a.Outcome)
+	}
+	if n := d.runCount("1") + d.runCount("2") + d.runCount("3"); n != 0 {
+		t.Errorf("%d statements with a withdrawn key ran", n)
+	}
+}
+
+// Guards against statements of open transactions at an entry that cannot know whether their key was withdrawn.
+func TestLostLeaseEndsOpenTransactions(t *testing.T) {
+	const lease = 300 * time.Millisecond
+	d := newDatabases("a")
+	e := &entry{newUnconfigured(d), t}
+	e.SetPolicy(testPolicy(t, 1, "key"))
+	e.SetRoster(newRoster(d))
+	e.ExtendLease(time.Now().Add(lease))
+	keyed, open := e.openTransaction("orders", "key"), e.openTransaction("shelves", "")
+	time.Sleep(lease)
+	if a := keyed.execute("1", statement.Read, "READ x"); a.Outcome != statement.Aborted || a.State != statement.Failed {
+		t.Errorf("without a lease a read was answered with %q in state %q", a.Outcome, a.State)
+	}
+	if a := open.execute("2", statement.Commit, "COMMIT"); a.Outcome != statement.Done {
+		t.Errorf("on a route without keys a commit was answered with %q: %s", a.Outcome, a.Detail)
+	}
+	if n := d.runCount("1"); n != 0 {
+		t.Error("a read ran without a lease")
+	}
+}
+
+// Guards against work for a workspace that has lost a key to another one.
+func TestKeyOfAnotherWorkspaceEndsOpenTransactions(t *testing.T) {
+	d := newDatabases("a")
+	e := newEntry(t, "e", d, nil)
+	c := e.openTransaction("orders", "key")
+	moved := testPolicy(t, 2, "another")
+	moved.WorkspacesByKey["key"] = &policy.Workspace{Name: "bakery", Unlimited: true}
+	e.SetPolicy(moved)
+	if a := c.execute("1", statement.Commit, "COMMIT"); a.Outcome != statement.Aborted || d.runCount("1") != 0 {
+		t.Errorf("the commit was answered with %q and ran %d times", a.Outcome, d.runCount("1"))
+	}
+	if a := c.execute("2", statement.Write, "WRITE x 2"); a.Outcome != statement.Done {
+		t.Errorf("a write for the other workspace was answered with %q: %s", a.Outcome, a.Detail)
+	}
+}
+
 // Logging a refusal must not panic while there is no policy.
 func TestSessionBeforeFirstLeaseIsRefused(t *testing.T) {
 	d := newDatabases("a")
--- a/entry/proxy/session.go
+++ b/entry/proxy/session.go
@@ -124,19 +124,26 @@
 	if route == nil {
 		return nil, statement.FailureAnswer(statement.NoDatabase, "no route has this database", statement.Idle), false
 	}
-	workspace := current.WorkspacesByKey[s.key]
-	if route.AllowAnonymous {
-		s.setWorkspace(workspace)
-		return route, statement.Answer{}, true
+	workspace, refusal, ok := s.checkKey(current, route)
+	if !ok {
+		return nil, refusal, false
 	}
-	if !s.proxy.hasLease() {
+	s.setWorkspace(workspace)
+	return route, statement.Answer{}, true
+}
+
+// checkKey returns the workspace that holds the session's key, or nil on a route that needs no key.
+func (s *session) checkKey(current *policy.Policy, route *policy.Route) (*policy.Workspace, statement.Answer, bool) {
+	workspace := current.WorkspacesByKey[s.key]
+	switch {
+	case route.AllowAnonymous:
+		return workspace, statement.Answer{}, true
+	case !s.proxy.hasLease():
 		return nil, statement.FailureAnswer(statement.Busy, "cut off from control; keys cannot be checked", statement.Idle), false
-	}
-	if workspace == nil {
+	case workspace == nil:
 		return nil, statement.FailureAnswer(statement.BadKey, "the key belongs to no workspace", statement.Idle), false
 	}
-	s.setWorkspace(workspace)
-	return route, statement.Answer{}, true
+	return workspace, statement.Answer{}, true
 }
 
 // setWorkspace sets the workspace whose quota the session uses; nil stands for none.
--- a/entry/proxy/transaction.go
+++ b/entry/proxy/transaction.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"lentilwind.dev/lentilwind/forward"
+	"lentilwind.dev/lentilwind/inventory"
 	"lentilwind.dev/lentilwind/policy"
 	"lentilwind.dev/lentilwind/statement"
 )
@@ -52,6 +53,28 @@
 	}
 }
 
+// authorizeInTransaction checks the key again before each statement that a database is to run, since a transaction may stay open for longer
+// than a withdrawn key may be used. If the key or the lease on the configuration is gone, the transaction is rolled back. Changes of the
+// route apply from the next transaction on.
+func (s *session) authorizeInTransaction(id statement.ID) (statement.Answer, bool) {
+	workspace, refusal, ok := s.checkKey(s.proxy.Policy(), s.tx.route)
+	held := inventory.WorkspaceName("")
+	if workspace != nil {
+		held = workspace.Name
+	}
+	switch {
+	case ok && held == s.workspace:
+		return statement.Answer{}, true
+	case ok:
+		refusal = statement.FailureAnswer(statement.Aborted, "the key belongs to another workspace now", statement.Failed)
+	case refusal.Outcome == statement.Busy:
+		refusal.Outcome = statement.Aborted
+	}
+	s.dropTransactionConn()
+	s.logRefusal(id, "transaction", refusal, nil)
+	return s.tx.fail(refusal), false
+}
+
 // begin opens a transaction. The server is chosen by the first statement.
 func (s *session) begin(st statement.Statement) statement.Answer {
 	if s.tx != nil {
@@ -73,6 +96,9 @@
 	if tx.failed {
 		return statement.FailureAnswer(statement.Malformed, "the transaction has failed; roll it back", statement.Failed)
 	}
+	if refusal, ok := s.authorizeInTransaction(stmt.ID); !ok {
+		return refusal
+	}
 	answer := s.attemptInTransaction(stmt)
 	if tx.failed {
 		s.recordOperation(operation{id: stmt.ID, route: tx.route, started: tx.started, attempts: tx.attempts}, answer)
@@ -163,6 +189,10 @@
 // commit runs the commit at the database. The outcome is unknown if the database does not answer.
 func (s *session) commit(st statement.Statement) statement.Answer {
 	tx := s.tx
+	if refusal, ok := s.authorizeInTransaction(st.ID); !ok {
+		refusal.State = statement.Idle
+		return refusal
+	}
 	sent := s.proxy.cfg.Now()
 	var write primaryWrite
 	cluster := s.proxy.cluster(tx.route.Service)
