control: the leader decides at the time of its lease check

A control process that stood still between the check of its leader lease and a draw from the quota decided at the later time, when another leader may have granted the same tokens. The same holds for the answer to a registration, after which a process may empty its folder.

Change: lockIfLeading returns the time at which the lease was valid, and everything under the lock is decided as of that time. The answer to a registration is given after a second look at the lease.

--- a/control/coordinator/leadership.go
+++ b/control/coordinator/leadership.go
@@ -65,15 +65,16 @@
 }
 
 // lockIfLeading locks mu and prepares the state of the current term; it returns false, without the lock, if this process does not
-// lead.
-func (l *leaderState) lockIfLeading() bool {
-	term, leads := l.c.leading()
+// lead. What is decided as of the returned time is decided under the leader lease, however long that takes.
+func (l *leaderState) lockIfLeading() (time.Time, bool) {
+	l.mu.Lock()
+	now := l.c.cfg.Now()
+	term, leads := l.c.leadingAt(now)
 	if !leads {
-		return false
+		l.mu.Unlock()
+		return now, false
 	}
-	l.mu.Lock()
 	if l.term != term {
-		now := l.c.cfg.Now()
 		l.term = term
 		l.roster = newRoster(term, l.c.cfg.AnnounceInterval, l.c.state.Load().Servers, now)
 		l.quota = quota.NewLeader(quota.FastFailoverSettings(), uint64(term), l.c.state.Load().Reserves, now)
@@ -83,7 +84,7 @@
 	}
 	l.configureQuota()
 	l.quota.ReservesStored(l.c.state.Load().Reserves)
-	return true
+	return now, true
 }
 
 // configureQuota passes the latest workspaces and entries to the quota.
@@ -111,10 +112,10 @@
 			return nil
 		case <-ticker.C:
 		}
-		if !l.lockIfLeading() {
+		now, leads := l.lockIfLeading()
+		if !leads {
 			continue
 		}
-		now := l.c.cfg.Now()
 		if l.roster.expire(now) {
 			l.changed.notify()
 		}
@@ -202,7 +203,7 @@
 
 // leaseHolders returns the entries that may hold leases on primaries, and the time since which this process leads.
 func (l *leaderState) leaseHolders() (holders []succession.LeaseHolder, since time.Time, leads bool) {
-	if !l.lockIfLeading() {
+	if _, leads = l.lockIfLeading(); !leads {
 		return nil, time.Time{}, false
 	}
 	defer l.mu.Unlock()
@@ -260,7 +261,7 @@
 }
 
 func (l *leaderState) storeRenewal(request fleet.RenewRequest, now time.Time) {
-	if !l.lockIfLeading() {
+	if _, leads := l.lockIfLeading(); !leads {
 		return
 	}
 	defer l.mu.Unlock()
@@ -297,11 +298,11 @@
 
 // renewReply returns the reply to a renewal, whether it contains anything new, and whether this process leads.
 func (l *leaderState) renewReply(request fleet.RenewRequest) (fleet.RenewReply, bool, bool) {
-	if !l.lockIfLeading() {
+	now, leads := l.lockIfLeading()
+	if !leads {
 		return fleet.RenewReply{}, false, false
 	}
 	defer l.mu.Unlock()
-	now := l.c.cfg.Now()
 	current := l.c.state.Load()
 	document := current.Document
 	reply := fleet.RenewReply{Lease: l.c.cfg.Lease, Version: document.Version}
@@ -325,7 +326,7 @@
 		reply.Controls = l.c.controlAddresses()
 	}
 	// If the leader lease still holds now, it also held when the state was read.
-	_, leads := l.c.leading()
+	_, leads = l.c.leading()
 	return reply, hasChanges, leads
 }
 
@@ -343,11 +344,11 @@
 
 // handleDraw answers an entry that draws tokens from the quota.
 func (l *leaderState) handleDraw(ctx context.Context, _ inventory.InstanceName, request protocol.DrawRequest) (protocol.DrawReply, error) {
-	if !l.lockIfLeading() {
+	now, leads := l.lockIfLeading()
+	if !leads {
 		return protocol.DrawReply{}, l.c.notLeaderRefusal()
 	}
 	defer l.mu.Unlock()
-	now := l.c.cfg.Now()
 	reply := l.quota.HandleDraw(&request, now)
 	if l.needsRelease(request) {
 		l.releaseReserves(context.WithoutCancel(ctx), now)
@@ -372,11 +373,12 @@
 
 // announceServer records an announcement of a database; it returns false if this process does not lead.
 func (l *leaderState) announceServer(s fleet.Server) bool {
-	if !l.lockIfLeading() {
+	now, leads := l.lockIfLeading()
+	if !leads {
 		return false
 	}
 	defer l.mu.Unlock()
-	if l.roster.announce(l.c.cfg.Now(), s) {
+	if l.roster.announce(now, s) {
 		l.c.cfg.Log.Info().Str("server", string(s.Name)).Str("service", string(s.Service)).Bool("primary", s.Primary).
 			Bool("leaving", s.Leaving).Bool("gone", s.Gone).Int64("incarnation", s.Incarnation).Msg("serverAnnounced")
 		l.changed.notify()
--- a/control/coordinator/loop.go
+++ b/control/coordinator/loop.go
@@ -204,7 +204,9 @@
 }
 
 // leading returns the term and whether this process holds the leader lease, so that no other process can lead.
-func (c *Coordinator) leading() (journal.Term, bool) {
+func (c *Coordinator) leading() (journal.Term, bool) { return c.leadingAt(c.cfg.Now()) }
+
+func (c *Coordinator) leadingAt(now time.Time) (journal.Term, bool) {
 	v := c.view.Load()
-	return v.term, c.cfg.Now().Before(v.leaseUntil)
+	return v.term, now.Before(v.leaseUntil)
 }
--- a/control/coordinator/members.go
+++ b/control/coordinator/members.go
@@ -173,7 +173,12 @@
 		c.members.standbys[r.Member] = standby{name: r.Name, address: r.Address, lastContact: c.cfg.Now()}
 		c.members.mu.Unlock()
 	}
-	return fleet.RegistrationReply{Member: member, Controls: c.controlAddresses()}, nil
+	reply := fleet.RegistrationReply{Member: member, Controls: c.controlAddresses()}
+	if _, leads := c.leading(); !leads {
+		// Another leader may have changed the members since they were read.
+		return fleet.RegistrationReply{}, c.notLeaderRefusal()
+	}
+	return reply, nil
 }
 
 func (c *Coordinator) notLeaderRefusal() *protocol.Refusal {
--- a/control/coordinator/metrics.go
+++ b/control/coordinator/metrics.go
@@ -15,7 +15,7 @@
 	fmt.Fprintf(w, "lentilwind_journal_answering %d\n", v.reachableVoters)
 	fmt.Fprintf(w, "lentilwind_policy_version %d\n", c.state.Load().Document.Version)
 	fmt.Fprintf(w, "lentilwind_leads %d\n", boolToInt(leads))
-	if !c.leader.lockIfLeading() {
+	if _, leads := c.leader.lockIfLeading(); !leads {
 		return
 	}
 	defer c.leader.mu.Unlock()
