control: odd announcements are refused, foreign ones must be repeated

Tests found no process that ends, but: values out of range were accepted and journalled (slots of 2^63 - 1, port 0, the last sequence number, names with blanks or line ends), and a single announcement with the name or address of the primary and a later birth was believed at once: control promoted another database, and the real announcements were ignored until the foreign one was forgotten.

Cause: only the types of the fields were checked, and the higher birth or sequence always won.

Change: both interfaces and both leaders check the values. On the platform an announcement that contradicts a writer that is still heard of must be repeated before it is believed (lentilwind/claim); one that looks older is believed if it goes on while the other is silent. The new line announcementHeld tells what is not believed yet.

--- a/control/coordinator/leadership.go
+++ b/control/coordinator/leadership.go
@@ -378,10 +378,16 @@
 		return false
 	}
 	defer l.mu.Unlock()
-	if l.roster.announce(now, s) {
-		l.c.cfg.Log.Info().Str("server", string(s.Name)).Str("service", string(s.Service)).Bool("primary", s.Primary).
-			Bool("leaving", s.Leaving).Bool("gone", s.Gone).Int64("incarnation", s.Incarnation).Msg("serverAnnounced")
+	event := "serverAnnounced"
+	switch l.roster.announce(now, s) {
+	case announcementUnchanged:
+		return true
+	case announcementChanged:
 		l.changed.notify()
+	case announcementHeld:
+		event = "announcementHeld"
 	}
+	l.c.cfg.Log.Info().Str("server", string(s.Name)).Str("service", string(s.Service)).Str("address", s.Address).Bool("primary", s.Primary).
+		Bool("leaving", s.Leaving).Bool("gone", s.Gone).Int64("incarnation", s.Incarnation).Uint64("sequence", s.Sequence).Msg(event)
 	return true
 }
--- a/control/coordinator/roster.go
+++ b/control/coordinator/roster.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"lentilwind.dev/lentilwind/claim"
 	"lentilwind.dev/lentilwind/fleet"
 	"lentilwind.dev/lentilwind/group"
 	"lentilwind.dev/lentilwind/inventory"
@@ -37,6 +38,7 @@
 	startedAt time.Time
 	servers   map[group.Server]serverRecord
 	changes   fleet.ChangeLog
+	claims    *claim.Claims[claimant]
 	// promotedAt is when this leader last promoted a server of a service.
 	promotedAt map[group.Service]time.Time
 }
@@ -46,6 +48,7 @@
 	r := &roster{
 		announceInterval: announceInterval, version: fleet.RosterVersion{Term: term, Number: 1}, startedAt: now,
 		servers: make(map[group.Server]serverRecord), promotedAt: make(map[group.Service]time.Time),
+		claims: claim.New[claimant](claim.ForInterval(announceInterval)),
 	}
 	for name, s := range recorded {
 		r.servers[name] = serverRecord{Server: s, lastAnnounced: now}
@@ -73,34 +76,52 @@
 	return changed
 }
 
-// announce records a database's announcement and reports whether anything that entries see has changed.
-func (r *roster) announce(now time.Time, s fleet.Server) bool {
+// claimant identifies the writer of an announcement that contradicts a recorded one.
+type claimant struct {
+	name        group.Server
+	service     group.Service
+	address     string
+	incarnation int64
+}
+
+// announcementResult tells what became of an announcement.
+type announcementResult string
+
+const (
+	announcementUnchanged announcementResult = "unchanged"
+	// announcementChanged means that something that entries see has changed.
+	announcementChanged announcementResult = "changed"
+	// announcementHeld means that the name or the address is in use by another writer, which is believed for now.
+	announcementHeld announcementResult = "held"
+)
+
+// announce records a database's announcement.
+func (r *roster) announce(now time.Time, s fleet.Server) announcementResult {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old, found := r.servers[s.Name]
-	if found && !s.Supersedes(old.Server) {
-		return false
-	}
 	if s.Gone {
-		if !found {
-			return false
+		if !found || !s.Supersedes(old.Server) {
+			return announcementUnchanged
 		}
 		old.Gone = true
 		r.servers[s.Name] = old
 		r.recordChange(s.Name)
-		return true
+		return announcementChanged
+	}
+	if found && old.Incarnation == s.Incarnation && old.Sequence == s.Sequence {
+		return announcementUnchanged
+	}
+	if !r.believes(now, s) {
+		return announcementHeld
 	}
 	for name, other := range r.servers {
-		if name == s.Name || other.Address != s.Address || other.Gone {
-			continue
-		}
-		if other.Incarnation > s.Incarnation {
-			return false
+		if name != s.Name && other.Address == s.Address && !other.Gone {
+			// The address now belongs to another database, so the former one has stopped.
+			other.Gone = true
+			r.servers[name] = other
+			r.recordChange(name)
 		}
-		// The address now belongs to another database, so the former one has stopped.
-		other.Gone = true
-		r.servers[name] = other
-		r.recordChange(name)
 	}
 	if now.Sub(r.promotedAt[s.Service]) < r.announceInterval/2 {
 		// The role in the announcement may be older than the promotion.
@@ -110,10 +131,36 @@
 	before := old.Server
 	before.Sequence = s.Sequence
 	if found && before == s {
-		return false
+		return announcementUnchanged
 	}
 	r.recordChange(s.Name)
-	return true
+	return announcementChanged
+}
+
+// believes reports whether no recorded database, itself included, is rather believed than an announcement.
+func (r *roster) believes(now time.Time, s fleet.Server) bool {
+	c := claimant{name: s.Name, service: s.Service, address: s.Address, incarnation: s.Incarnation}
+	believed := true
+	for name, holder := range r.servers {
+		order := claim.Newer
+		switch {
+		case name == s.Name:
+			if !s.Supersedes(holder.Server) {
+				order = claim.Older
+			} else if holder.Service == s.Service && holder.Address == s.Address && holder.Incarnation == s.Incarnation {
+				continue
+			}
+		case holder.Gone || holder.Address != s.Address:
+			continue
+		case holder.Incarnation > s.Incarnation:
+			order = claim.Older
+		}
+		if order == claim.Newer && (holder.Leaving || holder.Gone) {
+			continue
+		}
+		believed = r.claims.Accept(now, c, order, holder.lastAnnounced) && believed
+	}
+	return believed
 }
 
 // recordChange starts a new version in which a server has changed.
--- a/control/coordinator/service.go
+++ b/control/coordinator/service.go
@@ -56,7 +56,7 @@
 	return nil
 }
 
-// Announce passes a database's announcement to the leader; a nil error means that the leader has recorded it, and fleet.ErrInvalidServer
+// Announce passes a database's announcement to the leader; a nil error means that the leader has recorded it, and protocol.ErrInvalidAnnouncement
 // that it can't be recorded.
 func (c *Coordinator) Announce(ctx context.Context, s fleet.Server) error {
 	if err := s.Check(); err != nil {
--- a/control/internal/roster/service.go
+++ b/control/internal/roster/service.go
@@ -141,6 +141,9 @@
 	if err := protocol.Decode(frame.Body, &announcement); err != nil {
 		return nil, &protocol.Refusal{Code: protocol.CodeInvalid, Message: err.Error()}
 	}
+	if err := announcement.Check(); err != nil {
+		return nil, &protocol.Refusal{Code: protocol.CodeInvalid, Message: err.Error()}
+	}
 	return s.Announce(time.Now(), announcement)
 }
 
--- a/entry/internal/health/health.go
+++ b/entry/internal/health/health.go
@@ -87,6 +87,11 @@
 		return
 	}
 	reply, err := cfg.Announce(r.Context(), announcement)
+	var refusal *protocol.Refusal
+	if errors.As(err, &refusal) && refusal.Code == protocol.CodeInvalid {
+		writeError(w, http.StatusBadRequest, err)
+		return
+	}
 	if err != nil {
 		writeError(w, http.StatusServiceUnavailable, err)
 		return
--- a/entry/internal/health/health_test.go
+++ b/entry/internal/health/health_test.go
@@ -37,6 +37,9 @@
 				return nil
 			},
 			Announce: func(_ context.Context, a protocol.Announcement) (protocol.AnnounceReply, error) {
+				if a.Sequence > 1 {
+					return protocol.AnnounceReply{}, &protocol.Refusal{Code: protocol.CodeInvalid, Message: "out of range"}
+				}
 				return protocol.AnnounceReply{MayStop: a.Leaving}, nil
 			},
 		})
@@ -64,6 +67,7 @@
 	check(http.MethodGet, "/healthz", "", http.StatusOK, "")
 	check(http.MethodGet, "/metrics", "", http.StatusOK, "")
 	check(http.MethodPost, "/v1/announcements", `{"server":"db-1","leaving":true}`, http.StatusOK, `"mayStop":true`)
+	check(http.MethodPost, "/v1/announcements", `{"server":"db-1","sequence":2}`, http.StatusBadRequest, "out of range")
 	check(http.MethodPost, "/v1/announcements", `{`, http.StatusBadRequest, "message")
 	http.DefaultClient.CloseIdleConnections()
 	cancel()
--- a/lentilwind/fleet/check.go
+++ b/lentilwind/fleet/check.go
@@ -3,35 +3,34 @@
 import (
 	"errors"
 	"fmt"
-	"strings"
-	"unicode"
-	"unicode/utf8"
-)
 
-// ErrInvalidServer is wrapped by the errors of Server.Check.
-var ErrInvalidServer = errors.New("fleet: invalid announcement")
+	"lentilwind.dev/lentilwind/protocol"
+)
 
-// maxNameBytes limits the names in an announcement.
-const maxNameBytes = 255
+// Limits on the numbers in an announcement.
+const (
+	maxSlots = 1 << 16
+	// maxBirth is the year 10000 in Unix milliseconds.
+	maxBirth = 253_402_300_800_000
+)
 
-// Check returns an error if a field of an announcement has a value that cannot be meant.
-//
-// Announcements may come from writers that are no databases. What is accepted is journalled, sent to all processes and put into the start
-// message of connections, where a blank or a line end would begin another field or message.
+// Check returns an error that wraps protocol.ErrInvalidAnnouncement if a field has a value that cannot be meant.
 func (s Server) Check() error {
-	if err := checkName("server", string(s.Name)); err != nil || s.Gone {
+	if err := protocol.CheckName("server", string(s.Name)); err != nil || s.Gone {
 		return err
 	}
-	return checkName("service", string(s.Service))
-}
-
-func checkName(kind, name string) error {
-	unreadable := func(r rune) bool { return !unicode.IsGraphic(r) || unicode.IsSpace(r) }
+	err := errors.Join(
+		protocol.CheckName("service", string(s.Service)), protocol.CheckName("data centre", string(s.DataCentre)), protocol.CheckAddress(s.Address),
+	)
 	switch {
-	case name == "" || len(name) > maxNameBytes:
-		return fmt.Errorf("%w: the name of the %s has %d bytes, allowed are 1 to %d", ErrInvalidServer, kind, len(name), maxNameBytes)
-	case !utf8.ValidString(name) || strings.ContainsFunc(name, unreadable):
-		return fmt.Errorf("%w: the name of the %s is not readable text without blanks: %+q", ErrInvalidServer, kind, name)
+	case err != nil:
+		return err
+	case s.Slots < 1 || s.Slots > maxSlots:
+		return fmt.Errorf("%w: %d slots, allowed are 1 to %d", protocol.ErrInvalidAnnouncement, s.Slots, maxSlots)
+	case s.Sequence > protocol.MaxSequence:
+		return fmt.Errorf("%w: sequence %d, allowed is up to %d", protocol.ErrInvalidAnnouncement, s.Sequence, uint64(protocol.MaxSequence))
+	case s.Incarnation < 0 || s.Incarnation > maxBirth:
+		return fmt.Errorf("%w: incarnation %d, allowed are 0 to %d", protocol.ErrInvalidAnnouncement, s.Incarnation, int64(maxBirth))
 	}
 	return nil
 }
