control: no promotion over the log of a newer term

What callers saw: after two failures in a row, reads lacked commits that the first successor had acknowledged (STALE), and on a platform without fencing writes were acknowledged that the next primary did not have (ONE).

Cause: control promoted the only database that answered, though its log ended in an older term; it kept no record of terms. Any accepted BEGIN ended the promotion, also one of a server that led its old term.

Change: the newest term that a primary was seen to lead is kept and journalled; a log of an older term is promoted only if no listed server is silent that may have the newest one. A promotion ends when the server leads a later term.

--- a/control/coordinator/leadership.go
+++ b/control/coordinator/leadership.go
@@ -177,6 +177,9 @@
 	if changed := l.roster.pendingChanges(l.c.state.Load().Servers); len(changed) > 0 {
 		commands = append(commands, command{Servers: changed})
 	}
+	if terms := l.primaries.unrecordedTerms(l.c.state.Load().Terms); terms != nil {
+		commands = append(commands, command{Terms: terms})
+	}
 	if len(commands) > 0 || l.recordInFlight.Load() {
 		return commands
 	}
--- a/control/coordinator/leasefence.go
+++ b/control/coordinator/leasefence.go
@@ -5,7 +5,6 @@
 	"errors"
 	"time"
 
-	"lentilwind.dev/lentilwind/fleet"
 	"lentilwind.dev/lentilwind/group"
 	"lentilwind.dev/lentilwind/journal"
 	"lentilwind.dev/lentilwind/policy"
@@ -88,7 +87,7 @@
 	if !found {
 		return
 	}
-	decision := promotion{Service: name, Server: best.Name, Holder: p.c.cfg.Instance, Drain: inOrder}
+	decision := promotion{Service: name, Server: best.server.Name, Holder: p.c.cfg.Instance, Drain: inOrder}
 	token, err := p.designate(ctx, decision)
 	if err != nil {
 		return
@@ -98,11 +97,11 @@
 	if err != nil && !errors.Is(err, ErrNoResponse) {
 		return
 	}
-	leads := p.awaitTakeover(ctx, name, best, monitored)
+	leads := p.awaitTakeover(ctx, name, best.server, best.Received.Term, monitored)
 	if leads && attempts == 1 && err == nil {
 		p.settle(ctx, name, token)
 	}
-	p.c.cfg.Log.Info().Str("service", string(name)).Str("server", string(best.Name)).Str("replaces", string(former)).Bool("leads", leads).
+	p.c.cfg.Log.Info().Str("service", string(name)).Str("server", string(best.server.Name)).Str("replaces", string(former)).Bool("leads", leads).
 		Str("reason", string(reason)).Bool("inOrder", inOrder).Int64("fenceMs", fencedAt.Sub(start).Milliseconds()).
 		Int64("tookMs", p.c.cfg.Now().Sub(start).Milliseconds()).Msg("promotionEnded")
 }
@@ -161,7 +160,7 @@
 // two servers could be promoted.
 func (p *primaryMonitor) chooseSuccessor(
 	servers []serverRecord, former group.Server, monitored *monitoredService, reason succession.Reason, stopped group.Floor,
-) (fleet.Server, bool) {
+) (candidate, bool) {
 	now := p.c.cfg.Now()
 	p.mu.Lock()
 	outstanding := monitored.outstanding
@@ -171,12 +170,12 @@
 	p.mu.Unlock()
 	for _, s := range servers {
 		if s.Name == outstanding {
-			return s.Server, true
+			return candidate{server: s.Server}, true
 		}
 	}
 	if outstanding != "" {
 		p.c.cfg.Log.Warn().Str("server", string(outstanding)).Str("reason", string(reason)).Msg("successorAwaitsLateOrder")
-		return fleet.Server{}, false
+		return candidate{}, false
 	}
 	excluded := group.Server("")
 	if reason == succession.ReasonLeaving || reason == succession.ReasonSilent {
@@ -184,8 +183,8 @@
 	}
 	end := now.Add(catchUpTimeout)
 	for {
-		best, received, found := p.chooseReplica(servers, excluded, reason)
-		if !found || !received.Less(stopped) || !p.c.cfg.Now().Before(end) {
+		best, found := p.chooseReplica(servers, excluded, monitored, reason)
+		if !found || !best.Received.Less(stopped) || !p.c.cfg.Now().Before(end) {
 			return best, found
 		}
 		time.Sleep(catchUpPollInterval)
--- a/control/coordinator/primaries.go
+++ b/control/coordinator/primaries.go
@@ -55,6 +55,8 @@
 	probing       bool
 	promoting     bool
 	lastPromotion time.Time
+	// newestTerm is the highest term that a primary was seen to lead.
+	newestTerm group.Term
 	// known is set once the recorded promotion of this service was read.
 	known bool
 	// outstanding is a server whose last order got no answer, so that the order may be carried out until outstandingUntil.
@@ -72,7 +74,7 @@
 		p.mu.Lock()
 		monitored := p.services[name]
 		if monitored == nil {
-			monitored = &monitoredService{}
+			monitored = &monitoredService{newestTerm: p.c.state.Load().Terms[name]}
 			p.services[name] = monitored
 		}
 		monitored.succession.Members = successionMembers(servers)
@@ -145,9 +147,27 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	monitored.probing = false
+	monitored.newestTerm = max(monitored.newestTerm, pr.lastTerm())
 	monitored.succession.HandleProbe(pr.target.Server, sent, p.c.cfg.Now(), result)
 }
 
+// unrecordedTerms returns the terms that are newer than the recorded ones, or nil if there are none.
+func (p *primaryMonitor) unrecordedTerms(recorded map[group.Service]group.Term) map[group.Service]group.Term {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var terms map[group.Service]group.Term
+	for name, monitored := range p.services {
+		if monitored.newestTerm <= recorded[name] {
+			continue
+		}
+		if terms == nil {
+			terms = make(map[group.Service]group.Term)
+		}
+		terms[name] = monitored.newestTerm
+	}
+	return terms
+}
+
 // endPromotion allows the next replacement of a primary.
 func (p *primaryMonitor) endPromotion(monitored *monitoredService) {
 	p.mu.Lock()
@@ -162,20 +182,25 @@
 	p.mu.Lock()
 	replaced := monitored.succession.Primary()
 	p.mu.Unlock()
-	best, position, found := p.chooseReplica(servers, replaced, reason)
+	best, found := p.chooseReplica(servers, replaced, monitored, reason)
 	if !found {
 		return
 	}
 	start := p.c.cfg.Now()
-	err := p.promoteWithRetries(ctx, name, best, replaced, reason)
+	err := p.promoteWithRetries(ctx, name, best.server, replaced, reason)
 	if err != nil && !errors.Is(err, ErrNoResponse) {
 		return
 	}
 	if reason == succession.ReasonLeaving && err == nil {
-		p.demotePrimary(servers, replaced, position)
+		p.demotePrimary(servers, replaced, best.Received)
+	}
+	after := best.Received.Term
+	if best.Leads {
+		// The platform keeps a replaced server from leading, so this one leads already and stays in its term.
+		after = 0
 	}
-	leads := p.awaitTakeover(ctx, name, best, monitored)
-	p.c.cfg.Log.Info().Str("service", string(name)).Str("server", string(best.Name)).Bool("leads", leads).
+	leads := p.awaitTakeover(ctx, name, best.server, after, monitored)
+	p.c.cfg.Log.Info().Str("service", string(name)).Str("server", string(best.server.Name)).Bool("leads", leads).
 		Int64("tookMs", p.c.cfg.Now().Sub(start).Milliseconds()).Msg("promotionEnded")
 }
 
@@ -227,15 +252,19 @@
 	replicaStatus
 }
 
-// chooseReplica queries the positions of all servers but one, the former primary, and returns the one that has received the most.
+// chooseReplica queries the positions of all servers but one, the former primary, and returns the one whose log is the newest.
 //
 // With synchronous replication, an acknowledged commit may be on as few as syncReplicas replicas. So fewer replicas than that may
 // be silent: otherwise it is possible that no replica that answers has the commit.
-func (p *primaryMonitor) chooseReplica(servers []serverRecord, former group.Server, reason succession.Reason) (fleet.Server, group.Floor, bool) {
+func (p *primaryMonitor) chooseReplica(servers []serverRecord, former group.Server, monitored *monitoredService, reason succession.Reason) (candidate, bool) {
 	syncReplicas := p.syncReplicas(servers)
 	results := make(chan candidate, len(servers))
 	asked := 0
+	var candidates []succession.Candidate
 	for _, s := range servers {
+		if s.Name == former && reason == succession.ReasonSilent {
+			candidates = append(candidates, succession.Candidate{Server: s.Name})
+		}
 		if s.Name == former || s.Leaving && syncReplicas == 0 {
 			continue
 		}
@@ -244,22 +273,26 @@
 			results <- candidate{s.Server, queryReplicaStatus(p.c.cfg.Connector, databaseTarget(s.Server), statusTimeout)}
 		}()
 	}
-	var best candidate
+	answers := make(map[group.Server]candidate, asked)
 	silent := 0
 	for range asked {
 		found := <-results
+		answers[found.server.Name] = found
+		candidates = append(candidates, succession.Candidate{Server: found.server.Name, Answered: found.Known, Received: found.Received})
 		if !found.Known {
 			silent++
-		} else if !best.Known || best.Received.Less(found.Received) {
-			best = found
 		}
 	}
-	ok := best.Known && (syncReplicas == 0 || silent < syncReplicas)
+	p.mu.Lock()
+	newest := monitored.newestTerm
+	p.mu.Unlock()
+	best, ok := succession.ChooseSuccessor(newest, candidates)
+	ok = ok && (syncReplicas == 0 || silent < syncReplicas)
 	if !ok {
 		p.c.cfg.Log.Warn().Str("reason", string(reason)).Int("asked", asked).Int("silent", silent).Int("confirmed", syncReplicas).
-			Msg("noReplicaToPromote")
+			Uint64("term", uint64(newest)).Msg("noReplicaToPromote")
 	}
-	return best.server, best.Received, ok
+	return answers[best.Server], ok
 }
 
 // syncReplicas returns how many replicas must hold a commit of the service before it is acknowledged.
@@ -274,16 +307,17 @@
 	return 0
 }
 
-// awaitTakeover waits until the promoted database is the primary.
-func (p *primaryMonitor) awaitTakeover(ctx context.Context, name group.Service, best fleet.Server, monitored *monitoredService) bool {
+// awaitTakeover waits until the promoted database is the primary of a later term than the given one. In that one it may have led before.
+func (p *primaryMonitor) awaitTakeover(ctx context.Context, name group.Service, best fleet.Server, after group.Term, monitored *monitoredService) bool {
 	pr := &probe{connector: p.c.cfg.Connector, target: databaseTarget(best)}
 	defer pr.close()
 	end := p.c.cfg.Now().Add(takeoverTimeout)
 	for ctx.Err() == nil && p.c.cfg.Now().Before(end) {
 		sent := p.c.cfg.Now()
-		if pr.checkRole(probeTimeout) == succession.ProbePrimary {
+		if pr.checkRole(probeTimeout) == succession.ProbePrimary && pr.lastTerm() > after {
 			now := p.c.cfg.Now()
 			p.mu.Lock()
+			monitored.newestTerm = max(monitored.newestTerm, pr.lastTerm())
 			monitored.succession.MarkPromoted(best.Name, now)
 			monitored.succession.HandleProbe(best.Name, sent, now, succession.ProbePrimary)
 			p.mu.Unlock()
--- a/control/coordinator/probe.go
+++ b/control/coordinator/probe.go
@@ -110,6 +110,8 @@
 type replicaStatus struct {
 	Known    bool
 	Received group.Floor
+	// Leads means that the database considers itself the primary.
+	Leads bool
 }
 
 // queryReplicaStatus asks a database for its status over a new connection.
@@ -122,7 +124,7 @@
 		// What has been applied has also been received.
 		return replicaStatus{Known: true, Received: answer.Position}
 	default:
-		return replicaStatus{Known: true, Received: answer.Report.Received}
+		return replicaStatus{Known: true, Received: answer.Report.Received, Leads: answer.Report.Primary}
 	}
 }
 
--- a/control/coordinator/state.go
+++ b/control/coordinator/state.go
@@ -50,6 +50,8 @@
 	Reserves   *quota.Reserves          `cbor:"5,keyasint,omitempty"`
 	Suspension *suspension              `cbor:"6,keyasint,omitempty"`
 	Settlement *settlement              `cbor:"7,keyasint,omitempty"`
+	// Terms are the highest terms that primaries were seen to lead; lower ones than those recorded change nothing.
+	Terms map[group.Service]group.Term `cbor:"8,keyasint,omitempty"`
 }
 
 // state is the replicated state; each change creates a new value.
@@ -64,6 +66,8 @@
 	Reserves quota.Reserves `cbor:"5,keyasint"`
 	// Epoch is the last change of Promotions.
 	Epoch fleet.Epoch `cbor:"6,keyasint,omitempty"`
+	// Terms are the highest terms that primaries were seen to lead.
+	Terms map[group.Service]group.Term `cbor:"7,keyasint,omitempty"`
 }
 
 // apply returns the state after a command.
@@ -95,6 +99,12 @@
 		next.Entries = slices.Clone(c.Entries)
 	case c.Reserves != nil:
 		next.Reserves = *c.Reserves
+	case c.Terms != nil:
+		next.Terms = make(map[group.Service]group.Term, len(s.Terms)+len(c.Terms))
+		maps.Copy(next.Terms, s.Terms)
+		for service, term := range c.Terms {
+			next.Terms[service] = max(next.Terms[service], term)
+		}
 	case c.Servers != nil:
 		next.Servers = maps.Clone(s.Servers)
 		if next.Servers == nil {
--- /dev/null
+++ b/lentilwind/succession/successor.go
@@ -0,0 +1,32 @@
+package succession
+
+import "lentilwind.dev/lentilwind/group"
+
+// Candidate is a listed server that may be promoted.
+type Candidate struct {
+	Server group.Server
+	// Answered is false if the server has not reported its position; Received is the end of its log if it has.
+	Answered bool
+	Received group.Floor
+}
+
+// ChooseSuccessor returns the candidate with the newest log. Newest is the highest term that any primary of the group was seen to lead.
+//
+// A log that ends in an older term may lack commits of the newest one, and hold some that it has left out. So it is chosen only if no
+// candidate is silent that may have the newest log and come back. It returns false if no candidate should be promoted now.
+func ChooseSuccessor(newest group.Term, candidates []Candidate) (Candidate, bool) {
+	var best Candidate
+	silent := false
+	for _, c := range candidates {
+		switch {
+		case !c.Answered:
+			silent = true
+		case !best.Answered || best.Received.Less(c.Received):
+			best = c
+		}
+	}
+	if !best.Answered || silent && best.Received.Term < newest {
+		return Candidate{}, false
+	}
+	return best, true
+}
--- /dev/null
+++ b/lentilwind/succession/successor_test.go
@@ -0,0 +1,36 @@
+package succession_test
+
+import (
+	"testing"
+
+	"lentilwind.dev/lentilwind/group"
+	"lentilwind.dev/lentilwind/succession"
+)
+
+func candidate(server group.Server, term group.Term, position group.Position) succession.Candidate {
+	return succession.Candidate{Server: server, Answered: true, Received: group.Floor{Term: term, Position: position}}
+}
+
+func silent(server group.Server) succession.Candidate { return succession.Candidate{Server: server} }
+
+func TestChooseSuccessor(t *testing.T) {
+	for name, test := range map[string]struct {
+		newest     group.Term
+		candidates []succession.Candidate
+		want       group.Server
+	}{
+		"nobody answers":                       {2, []succession.Candidate{silent("a"), silent("b")}, ""},
+		"no candidate":                         {2, nil, ""},
+		"the longest log wins":                 {2, []succession.Candidate{candidate("a", 2, 7), candidate("b", 2, 9), silent("c")}, "b"},
+		"a newer term wins over a longer log":  {2, []succession.Candidate{candidate("a", 1, 99), candidate("b", 2, 9), silent("c")}, "b"},
+		"the newest log may come back":         {2, []succession.Candidate{candidate("a", 1, 99), silent("b"), silent("c")}, ""},
+		"the newest log is gone for good":      {2, []succession.Candidate{candidate("a", 1, 99), candidate("b", 1, 98)}, "a"},
+		"a term that control has not seen yet": {2, []succession.Candidate{candidate("a", 3, 5), silent("b")}, "a"},
+		"no primary was seen":                  {0, []succession.Candidate{candidate("a", 1, 5), silent("b")}, "a"},
+	} {
+		best, found := succession.ChooseSuccessor(test.newest, test.candidates)
+		if best.Server != test.want || found != (test.want != "") {
+			t.Errorf("%s: %q was chosen, want %q", name, best.Server, test.want)
+		}
+	}
+}
