Makefile: test results are never taken from the cache

The tests of platform/internal/program, tests and control/internal/command build and start the programs, so their results depend on sources that go test does not track.

--- a/Makefile
+++ b/Makefile
@@ -15,11 +15,12 @@
 	go build -o $(OUT)/bin/lentil-bench ./bench
 	go build -o $(OUT)/bin/lentil-platform ./platform
 
+# Tests that start the programs depend on sources that the test cache does not see, hence -count=1.
 test: build ## Run every test but those that SKIP matches, with the race detector.
-	go test -race -timeout 20m $(if $(SKIP),-skip '$(SKIP)') $(MODULES:%=./%/...)
+	go test -race -count=1 -timeout 20m $(if $(SKIP),-skip '$(SKIP)') $(MODULES:%=./%/...)
 
 known: ## Run the tests that KNOWN matches.
-	go test -race -timeout 10m -run '$(KNOWN)' $(MODULES:%=./%/...)
+	go test -race -count=1 -timeout 10m -run '$(KNOWN)' $(MODULES:%=./%/...)
 
 fmt: ## Format the sources.
 	cd tools && GOWORK=off go tool gofumpt -extra -l -w $(MODULES:%=../%)
