--- a/entry/proxy/held_test.go
+++ b/entry/proxy/held_test.go
@@ -17,6 +17,9 @@
 // callTimeout bounds one forwarded piece of work in tests.
 const callTimeout = 10 * time.Second
 
+// ownAddress has an IP of its own, so that no outgoing connection gets its port while an entry restarts.
+const ownAddress = "127.77.0.1:0"
+
 // servePeers makes an entry accept forwarded work at an address until stop is called.
 func (e *entry) servePeers(address string) (actual string, stop func()) {
 	e.t.Helper()
@@ -43,7 +46,7 @@
 	d := newDatabases("a")
 	client := peer.NewClient("far")
 	defer client.Close()
-	address, stop := newEntry(t, "home", d, nil).servePeers("127.0.0.1:0")
+	address, stop := newEntry(t, "home", d, nil).servePeers(ownAddress)
 	remote := newEntry(t, "far", d, client)
 	entries := []fleet.Entry{{Name: "home", DataCentre: "near", Address: address}}
 	remote.SetRoster(newRoster(d, entries...))
