claim, control: plain wording of claims on names and addresses

Cause: comments and one function name told the rule in figurative words (believes, heard of, takes away). Measured: the tests of lentilwind/claim and lentilwind/succession, and of announcements and documented events with real processes, pass.

--- a/control/coordinator/roster.go
+++ b/control/coordinator/roster.go
@@ -91,7 +91,7 @@
 	announcementUnchanged announcementResult = "unchanged"
 	// announcementChanged means that something that entries see has changed.
 	announcementChanged announcementResult = "changed"
-	// announcementHeld means that the name or the address is in use by another writer, which is believed for now.
+	// announcementHeld means that the name or the address is in use by another writer that still announces itself.
 	announcementHeld announcementResult = "held"
 )
 
@@ -112,7 +112,7 @@
 	if found && old.Incarnation == s.Incarnation && old.Sequence == s.Sequence {
 		return announcementUnchanged
 	}
-	if !r.believes(now, s) {
+	if !r.mayApply(now, s) {
 		return announcementHeld
 	}
 	for name, other := range r.servers {
@@ -137,10 +137,10 @@
 	return announcementChanged
 }
 
-// believes reports whether no recorded database, itself included, is rather believed than an announcement.
-func (r *roster) believes(now time.Time, s fleet.Server) bool {
+// mayApply reports whether an announcement takes precedence over the recorded databases with its name or address.
+func (r *roster) mayApply(now time.Time, s fleet.Server) bool {
 	c := claimant{name: s.Name, service: s.Service, address: s.Address, incarnation: s.Incarnation}
-	believed := true
+	accepted := true
 	for name, holder := range r.servers {
 		order := claim.Newer
 		switch {
@@ -158,9 +158,9 @@
 		if order == claim.Newer && (holder.Leaving || holder.Gone) {
 			continue
 		}
-		believed = r.claims.Accept(now, c, order, holder.lastAnnounced) && believed
+		accepted = r.claims.Accept(now, c, order, holder.lastAnnounced) && accepted
 	}
-	return believed
+	return accepted
 }
 
 // recordChange starts a new version in which a server has changed.
--- a/lentilwind/claim/claim.go
+++ b/lentilwind/claim/claim.go
@@ -31,9 +31,9 @@
 
 // Claims remembers the claims that were not accepted. It is not safe for concurrent use.
 //
-// A live writer announces itself again and again, so a claim against one that is heard of must be repeated before it is accepted: a single
-// announcement of a foreign writer, however large its numbers are, takes nothing away. A claim that looks older is accepted only from a
-// writer that goes on announcing itself while the holder is silent.
+// A live writer announces itself periodically, so a claim against one that still does must be repeated before it is accepted: a single
+// announcement of another writer never replaces a live holder, however large its numbers are. A claim that looks older is accepted only
+// from a writer that continues to announce itself while the holder is silent.
 type Claims[K comparable] struct {
 	settings Settings
 	// since holds the time of each claimant's first claim.
@@ -45,7 +45,7 @@
 	return &Claims[K]{settings: settings, since: make(map[K]time.Time)}
 }
 
-// Accept reports whether a claimant is believed now, given when the holder last announced itself. A claim against several holders must be
+// Accept reports whether a claimant replaces the holder now, given when the holder last announced itself. A claim against several holders must be
 // accepted for each of them.
 func (c *Claims[K]) Accept(now time.Time, claimant K, order Order, heardAt time.Time) bool {
 	since, known := c.since[claimant]
--- a/lentilwind/succession/successor.go
+++ b/lentilwind/succession/successor.go
@@ -13,7 +13,7 @@
 // ChooseSuccessor returns the candidate with the newest log. Newest is the highest term that any primary of the group was seen to lead.
 //
 // A log that ends in an older term may lack commits of the newest one, and hold some that it has left out. So it is chosen only if no
-// candidate is silent that may have the newest log and come back. It returns false if no candidate should be promoted now.
+// silent candidate may still have the newest log. It returns false if no candidate should be promoted now.
 func ChooseSuccessor(newest group.Term, candidates []Candidate) (Candidate, bool) {
 	var best Candidate
 	silent := false
