--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -6,4 +6,4 @@
   echo "build the deploy file and run review/build-2.sh first" >&2
   exit 2
 fi
-exec target/review-2/harness prepared-texts target/lentil-platform "$here"
+exec target/review-2/harness read-transaction target/lentil-platform "$here"
--- a/review/harness-2/client.go
+++ b/review/harness-2/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -21,6 +22,9 @@
 	rows                int
 }
 
+// startFailed begins the error of a session that is refused; the code and the detail follow.
+const startFailed = "ERROR "
+
 const answerTimeout = 5 * time.Second
 
 func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
@@ -36,7 +40,7 @@
 	if _, err = fmt.Fprintf(conn, "START %s %s\r\n", database, key); err == nil {
 		var line string
 		if line, err = c.r.ReadString('\n'); err == nil && !strings.HasPrefix(line, "READY I") {
-			err = fmt.Errorf("the answer to START is %q", strings.TrimSpace(line))
+			err = errors.New(startFailed + strings.TrimPrefix(strings.TrimSpace(line), startFailed))
 		}
 	}
 	if err != nil {
--- a/review/harness-2/fleet.go
+++ b/review/harness-2/fleet.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -20,7 +21,8 @@
 	memoryMb     = 284
 	openFiles    = 4200
 	drainTime    = 7 * time.Second
-	stableWindow = 4 * time.Second
+	catchUp      = 4 * time.Second
+	grace        = 6 * time.Second
 	restartDelay = 500 * time.Millisecond
 	watchPeriod  = 20 * time.Millisecond
 )
@@ -50,6 +52,7 @@
 	kills  int // how often the platform killed it for its memory
 	ends   int // how often it ended by itself
 	ending bool
+	gone   bool // removed for good
 }
 
 // fleet is a small deployment: control processes, entries, one group of databases, the platform and an operator.
@@ -64,6 +67,7 @@
 	group    *group
 	platform *platform
 	closing  chan struct{}
+	mu       sync.Mutex // protects controls and gone
 	watchers sync.WaitGroup
 }
 
@@ -111,6 +115,10 @@
 // newFleet starts a deployment with one control process in each of three zones and the given zones of entries. The databases are in the
 // zones of dbZones, the first of them as the primary.
 func newFleet(rec *record, binary string, entryZones, dbZones []string) (*fleet, error) {
+	return newFleetOf(rec, binary, 3, entryZones, dbZones)
+}
+
+func newFleetOf(rec *record, binary string, controls int, entryZones, dbZones []string) (*fleet, error) {
 	dir, err := os.MkdirTemp("", "review")
 	if err != nil {
 		return nil, err
@@ -128,8 +136,8 @@
 	if err := f.platform.up(); err != nil {
 		return f, err
 	}
-	for i := range 3 {
-		f.controls = append(f.controls, f.newProcess("core", "control", zones[i], 1, i))
+	for i := range controls {
+		f.controls = append(f.controls, f.newProcess("core", "control", zones[i%len(zones)], 1, i))
 	}
 	for i, zone := range entryZones {
 		f.entries = append(f.entries, f.newProcess("front", "entry", zone, 2, i))
@@ -146,7 +154,7 @@
 		if err != nil {
 			return f, err
 		}
-		go d.announce(f.operatorAddresses())
+		go d.announce(f.operatorAddresses)
 	}
 	return f, nil
 }
@@ -163,21 +171,31 @@
 }
 
 func (f *fleet) operatorAddresses() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	var all []string
 	for _, p := range f.controls {
-		all = append(all, f.address(p, f.ports.operators))
+		if !p.gone {
+			all = append(all, f.address(p, f.ports.operators))
+		}
 	}
 	return all
 }
 
-// start writes the settings as the template of the deploy file gives them, and starts the process.
-func (f *fleet) start(p *process, first bool) error {
+// seeds returns the addresses of at most three control processes.
+func (f *fleet) seeds() []string {
+	all := f.operatorAddresses()
+	return all[:min(len(all), 3)]
+}
+
+// writeSettings writes the settings file of a process as the template of the deploy file gives it.
+func (f *fleet) writeSettings(p *process, first bool) error {
 	if err := os.MkdirAll(filepath.Join(p.dir, "data"), 0o700); err != nil {
 		return err
 	}
 	listen := map[string]string{"callers": f.address(p, f.ports.callers), "ready": f.address(p, f.ports.ready)}
 	settings := map[string]any{
-		"name": p.name, "dataCentre": p.zone, "ip": p.ip, "peerPorts": []int{f.ports.peer, f.ports.peer}, "controls": f.operatorAddresses(),
+		"name": p.name, "dataCentre": p.zone, "ip": p.ip, "peerPorts": []int{f.ports.peer, f.ports.peer}, "controls": f.seeds(),
 		"firstStart": first, "losses": 1, "announceMs": heartbeatInterval.Milliseconds(), "stopSeconds": 6, "withdrawalMs": 5000,
 		"regions":  map[string]string{"raquira": "andina", "bogota-norte": "andina", "tunja": "andina", "chiquinquira": "andina"},
 		"memoryMb": memoryMb, "openFiles": openFiles, "linkMbps": 1000.0, "fencing": "servers", "promoter": f.platform.addr,
@@ -192,8 +210,18 @@
 	if err != nil {
 		return err
 	}
-	path := filepath.Join(p.dir, "settings.jsonc")
-	if err := os.WriteFile(path, text, 0o600); err != nil {
+	next := p.settingsPath() + ".next"
+	if err := os.WriteFile(next, text, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(next, p.settingsPath())
+}
+
+func (p *process) settingsPath() string { return filepath.Join(p.dir, "settings.jsonc") }
+
+// start writes the settings and starts the process.
+func (f *fleet) start(p *process, first bool) error {
+	if err := f.writeSettings(p, first); err != nil {
 		return err
 	}
 	output, err := os.OpenFile(filepath.Join(p.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -202,7 +230,7 @@
 	}
 	defer func() { _ = output.Close() }()
 	cmd := exec.Command(f.binary, p.role, "--metrics-port", strconv.Itoa(f.ports.metrics))
-	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LENTILWIND_BOOT=" + path}
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LENTILWIND_BOOT=" + p.settingsPath()}
 	cmd.Stdout, cmd.Stderr = output, output
 	if err := cmd.Start(); err != nil {
 		return err
@@ -262,6 +290,47 @@
 	}
 }
 
+// replaceControl starts an empty control process in the zone of another one, at a new address, and stops the other for good as the platform
+// does: SIGTERM, and SIGKILL after graceS. The settings of all processes name other control processes then; none gets a signal for that.
+func (f *fleet) replaceControl(p *process) error {
+	f.mu.Lock()
+	next := f.newProcess("core", "control", p.zone, 1, len(f.controls))
+	f.controls = append(f.controls, next)
+	f.mu.Unlock()
+	if err := f.start(next, false); err != nil {
+		return err
+	}
+	f.watchers.Add(1)
+	go f.watch(next)
+	f.rec.printf("%s starts empty at a new address", next.name)
+	time.Sleep(catchUp + time.Second)
+	f.mu.Lock()
+	p.gone = true
+	f.mu.Unlock()
+	p.mu.Lock()
+	p.ending = true
+	_ = p.cmd.Process.Signal(syscall.SIGTERM)
+	exited := p.exited
+	p.mu.Unlock()
+	f.rec.printf("%s gets SIGTERM and leaves", p.name)
+	select {
+	case <-exited:
+	case <-time.After(grace):
+		_ = p.cmd.Process.Kill()
+		f.rec.printf("%s gets SIGKILL", p.name)
+	}
+	for _, other := range append(append([]*process(nil), f.controls...), f.entries...) {
+		if other.gone {
+			continue
+		}
+		if err := f.writeSettings(other, false); err != nil {
+			return err
+		}
+	}
+	f.rec.printf("the settings files name the control processes %s", strings.Join(f.seeds(), ", "))
+	return nil
+}
+
 // residentMb returns the resident memory of a process.
 func residentMb(pid int) int {
 	status, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(pid), "status"))
@@ -313,19 +382,23 @@
 	return all
 }
 
-// configure sends a configuration until it is acknowledged.
-func (f *fleet) configure(version, tenantCount int) error {
-	route := func(name, host, kind string, staleness int) map[string]any {
-		return map[string]any{
-			"name": name, "host": host, "pathPrefix": "/", "routeType": kind, "timeoutMs": 2000, "targetLatencyMs": 600, "priority": 1,
-			"service": f.group.service, "maxAttempts": 2, "maxStalenessMs": staleness, "authExempt": false,
-		}
+// route returns a route of the configuration.
+func (f *fleet) route(name, host, kind string, staleness int, open bool) any {
+	return map[string]any{
+		"name": name, "host": host, "pathPrefix": "/", "routeType": kind, "timeoutMs": 2000, "targetLatencyMs": 600, "priority": 1,
+		"service": f.group.service, "maxAttempts": 2, "maxStalenessMs": staleness, "authExempt": open,
 	}
+}
+
+// configure sends a configuration until it is acknowledged.
+func (f *fleet) configure(version, tenantCount int, more ...any) error {
+	routes := append([]any{
+		f.route("r-1", "orders", "primary", 0, false), f.route("r-2", "shelf", "bounded_staleness", 1500, false),
+		f.route("r-3", "counts", "read_own_writes", 2500, false),
+	}, more...)
 	body, err := json.Marshal(map[string]any{
-		"version": version,
-		"routes": []any{
-			route("r-1", "orders", "primary", 0), route("r-2", "shelf", "bounded_staleness", 1500), route("r-3", "counts", "read_own_writes", 2500),
-		},
+		"version":  version,
+		"routes":   routes,
 		"services": []any{map[string]any{"name": f.group.service, "healthPath": "/health", "maxConns": 23, "protocol": "h1", "tls": false, "syncReplicas": 0}},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000, "txIdleMs": 3000},
 		"tenants":  tenants(tenantCount),
--- a/review/harness-2/group.go
+++ b/review/harness-2/group.go
@@ -132,7 +132,7 @@
 }
 
 // announce sends heartbeats until the database stops.
-func (d *databaseServer) announce(controls []string) {
+func (d *databaseServer) announce(listControls func() []string) {
 	client := http.Client{Timeout: heartbeatTimeout}
 	at := 0
 	for {
@@ -144,6 +144,7 @@
 			"service": d.group.service, "address": d.addr, "zone": d.zone, "version": "v1", "slots": databaseSlots, "state": state, "coldLeftMs": 0,
 			"dbRole": d.role(), "seqNo": seq, "born": d.born,
 		})
+		controls := listControls()
 		for range controls {
 			request, _ := http.NewRequest(http.MethodPut, "http://"+controls[at%len(controls)]+"/lentilwind/instances/"+d.id, bytes.NewReader(body))
 			request.Header.Set("Content-Type", "application/json")
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -23,6 +23,7 @@
 	"long-ids":         longIDs,
 	"prepared-texts":   preparedTexts,
 	"drain-no-promote": drainWithoutPlatform,
+	"core-turnover":    coreTurnover,
 	"malformed":        malformedStatements,
 	"read-transaction": readTransaction,
 }
