entry: writes in read-only transactions are refused, and promises follow from what was sent

Cause: the entry passed the write on, and took the announcement of BEGIN READ as proof that the lost commit had written nothing. Primaries run such a write.

Change: a write, or the EXECUTE of a prepared write, in such a transaction is answered with READONLY and reaches no database. A lost commit is answered with ABORTED only if the transaction has sent no write, whatever its BEGIN announced.

--- a/entry/proxy/fake_test.go
+++ b/entry/proxy/fake_test.go
@@ -37,6 +37,8 @@
 	unreachable, unresponsive bool
 	// lostReads is the number of reads that run without an answer, while later statements on the connection are answered.
 	lostReads int
+	// lostCommits is the number of commits that run and are not answered before their timeout.
+	lostCommits int
 	// slow is the delay of each read.
 	slow time.Duration
 	// running is the number of reads that run, and peak the largest that it has been.
@@ -117,6 +119,10 @@
 			c.server.lostReads--
 			continue
 		}
+		if st.Verb == statement.Commit && c.server.lostCommits > 0 {
+			c.server.lostCommits--
+			c.unresponsive = true
+		}
 		c.answers = append(c.answers, answer)
 	}
 	return nil
@@ -229,7 +235,11 @@
 
 // execute sends one statement and returns its answer.
 func (c *clientConn) execute(id statement.ID, verb statement.Verb, text string) statement.Answer {
-	c.statements <- statement.Statement{ID: id, Verb: verb, Text: text, ReadOnly: verb == statement.Begin && strings.HasSuffix(text, "READ")}
+	return c.send(statement.Statement{ID: id, Verb: verb, Text: text, ReadOnly: verb == statement.Begin && strings.HasSuffix(text, "READ")})
+}
+
+func (c *clientConn) send(st statement.Statement) statement.Answer {
+	c.statements <- st
 	return <-c.answers
 }
 
--- a/entry/proxy/transaction.go
+++ b/entry/proxy/transaction.go
@@ -21,9 +21,9 @@
 	heldID forward.HeldID
 	// failed is set when the transaction can only be rolled back.
 	failed bool
-	// wrote is set when a write of the transaction has succeeded.
-	wrote    bool
-	attempts int
+	// writeSent is set once a write may have reached a server, and wrote when one has succeeded.
+	writeSent, wrote bool
+	attempts         int
 }
 
 // minStatementTimeout is the shortest timeout of a statement in a transaction.
@@ -111,7 +111,13 @@
 
 func (s *session) attemptInTransaction(stmt resolvedStatement) statement.Answer {
 	tx := s.tx
+	if tx.readOnly && !stmt.readOnly {
+		// The transaction may be open at a primary, which would run the write and commit it.
+		s.dropTransactionConn()
+		return tx.fail(statement.FailureAnswer(statement.ReadOnlyServer, "a read-only transaction cannot write", statement.Failed))
+	}
 	tx.attempts++
+	tx.writeSent = tx.writeSent || !stmt.readOnly
 	sent := s.proxy.cfg.Now()
 	result, refusal, ok := s.executeInTransaction(stmt, false)
 	switch {
@@ -229,7 +235,7 @@
 		switch {
 		case !wasSent:
 			answer = statement.FailureAnswer(statement.Aborted, "the connection was lost before the commit was sent", statement.Idle)
-		case tx.readOnly:
+		case !tx.writeSent:
 			answer = statement.FailureAnswer(statement.Aborted, "the database has not answered; nothing was written", statement.Idle)
 		}
 		return answer
