entry: an answer that promises that nothing is kept fails the open transaction

Cause: a statement of an open transaction that was refused with BUSY, OVERLOAD, LAGGING, READONLY or MISROUTED left the transaction open, as did SET and PREPARE without memory. Its client had the promise that nothing is kept, and could still commit the other statements.

Change: the session fails the transaction and closes its connection whenever it sends such an answer.

Before: TestPromiseInTransactionPreventsItsCommit failed in 7 of 7 cases. After: it passes, with the other tests of the package, under the race detector.

--- a/entry/proxy/fake_test.go
+++ b/entry/proxy/fake_test.go
@@ -6,11 +6,13 @@
 	"io"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"lentilwind.dev/entry/proxy"
 	"lentilwind.dev/instance/logs"
+	"lentilwind.dev/instance/memory"
 	"lentilwind.dev/instance/peer"
 	"lentilwind.dev/lentilwind/database"
 	"lentilwind.dev/lentilwind/fleet"
@@ -39,6 +41,8 @@
 	lostReads int
 	// lostCommits is the number of commits that run and are not answered before their timeout.
 	lostCommits int
+	// refuseWrites is the outcome of the writes that are refused while the transaction stays open; empty if none are.
+	refuseWrites statement.Outcome
 	// slow is the delay of each read.
 	slow time.Duration
 	// running is the number of reads that run, and peak the largest that it has been.
@@ -148,6 +152,10 @@
 			answer = statement.Answer{Outcome: statement.ReadOnlyServer}
 			break
 		}
+		if c.server.refuseWrites != "" {
+			answer = statement.Answer{Outcome: c.server.refuseWrites}
+			break
+		}
 		c.server.position++
 	case statement.Read:
 		c.delay = c.server.slow
@@ -214,6 +222,8 @@
 	answers    chan statement.Answer
 	ended      chan struct{}
 	once       sync.Once
+	// noMemory makes the reservation of memory fail.
+	noMemory atomic.Bool
 }
 
 func (c *clientConn) Start() (policy.Database, string, error) { return c.database, c.key, nil }
@@ -228,11 +238,17 @@
 }
 
 func (c *clientConn) Answer(a statement.Answer) error { c.answers <- a; return nil }
-func (c *clientConn) Reserve(int) error               { return nil }
 func (c *clientConn) Release(int)                     {}
 func (c *clientConn) Interrupt()                      { c.once.Do(func() { close(c.ended) }) }
 func (c *clientConn) Close()                          {}
 
+func (c *clientConn) Reserve(int) error {
+	if c.noMemory.Load() {
+		return memory.ErrExhausted
+	}
+	return nil
+}
+
 // execute sends one statement and returns its answer.
 func (c *clientConn) execute(id statement.ID, verb statement.Verb, text string) statement.Answer {
 	return c.send(statement.Statement{ID: id, Verb: verb, Text: text, ReadOnly: verb == statement.Begin && strings.HasSuffix(text, "READ")})
--- a/entry/proxy/promise_test.go
+++ b/entry/proxy/promise_test.go
@@ -69,3 +69,43 @@
 		})
 	}
 }
+
+// Guards against a commit of the other statements of a transaction after one of its statements was answered with a promise that nothing is
+// kept.
+func TestPromiseInTransactionPreventsItsCommit(t *testing.T) {
+	refused := map[string]func(d *databases, c *clientConn) statement.Answer{
+		"no memory for a value": func(_ *databases, c *clientConn) statement.Answer {
+			c.noMemory.Store(true)
+			return c.send(statement.Statement{ID: "s1", Verb: statement.Set, Name: "zone", Value: "1"})
+		},
+		"no memory for a prepared statement": func(_ *databases, c *clientConn) statement.Answer {
+			c.noMemory.Store(true)
+			return c.send(statement.Statement{ID: "s1", Verb: statement.Prepare, Name: "s", Value: "q"})
+		},
+	}
+	for _, outcome := range []statement.Outcome{statement.Busy, statement.Overloaded, statement.Lagging, statement.ReadOnlyServer, statement.WrongServer} {
+		refused["database answers "+string(outcome)] = func(d *databases, c *clientConn) statement.Answer {
+			d.update(func(s map[group.Server]*server) { s["a"].refuseWrites = outcome })
+			return c.execute("w2", statement.Write, "WRITE y 1")
+		}
+	}
+	for name, refuse := range refused {
+		t.Run(name, func(t *testing.T) {
+			d := newDatabases("a")
+			c, _ := newEntry(t, "e", d, nil).open("orders", "key")
+			c.execute("b1", statement.Begin, "BEGIN")
+			if a := c.execute("w1", statement.Write, "WRITE x 1"); a.Outcome != statement.Done {
+				t.Fatalf("the write was answered with %q: %s", a.Outcome, a.Detail)
+			}
+			if a := refuse(d, c); !a.Outcome.NothingKept() || a.State != statement.Failed {
+				t.Errorf("the refused statement was answered with %q in state %q", a.Outcome, a.State)
+			}
+			if a := c.execute("c1", statement.Commit, "COMMIT"); a.Outcome != statement.Aborted {
+				t.Errorf("the commit was answered with %q", a.Outcome)
+			}
+			if n := d.runCount("c1"); n != 0 {
+				t.Error("the commit reached the database")
+			}
+		})
+	}
+}
--- a/entry/proxy/session.go
+++ b/entry/proxy/session.go
@@ -102,7 +102,7 @@
 		if err != nil {
 			return
 		}
-		if s.client.Answer(s.handle(st)) != nil {
+		if s.client.Answer(s.failAfterRefusal(s.handle(st))) != nil {
 			return
 		}
 	}
--- a/entry/proxy/transaction.go
+++ b/entry/proxy/transaction.go
@@ -45,6 +45,16 @@
 	return answer
 }
 
+// failAfterRefusal fails the open transaction if the answer to one of its statements promises that nothing of the operation is kept. Otherwise
+// a later commit would keep the other statements.
+func (s *session) failAfterRefusal(answer statement.Answer) statement.Answer {
+	if s.tx == nil || !answer.Outcome.NothingKept() {
+		return answer
+	}
+	s.dropTransactionConn()
+	return s.tx.fail(answer)
+}
+
 // dropTransactionConn closes the connection of the transaction, so that the database rolls it back.
 func (s *session) dropTransactionConn() {
 	if s.tx.heldID != 0 {
@@ -103,7 +113,7 @@
 	if !ended {
 		answer = s.attemptInTransaction(stmt)
 	}
-	if tx.failed {
+	if tx.failed || answer.Outcome.NothingKept() {
 		s.recordOperation(operation{id: stmt.ID, route: tx.route, started: tx.started, attempts: tx.attempts}, answer)
 	}
 	return answer
--- a/lentilwind/statement/statement.go
+++ b/lentilwind/statement/statement.go
@@ -106,6 +106,17 @@
 	}
 }
 
+// NothingKept reports whether a client that is answered with this outcome may rely on it that nothing of its operation is kept, including the
+// earlier statements of an open transaction.
+func (o Outcome) NothingKept() bool {
+	switch o {
+	case Busy, Overloaded, Aborted, Lagging, ReadOnlyServer, WrongServer:
+		return true
+	default:
+		return false
+	}
+}
+
 // Answer is the complete answer to one statement.
 type Answer struct {
 	Rows []string `cbor:"1,keyasint,omitempty"`
