entry: a lost batch that runs an earlier portal may have committed

Cause: on the PostgreSQL side, a lost batch of a block was told as rolled back (LW001) unless its own text may commit. A portal that an earlier batch has bound to COMMIT was overlooked.

Change: a block remembers that a statement that may commit was bound; a later batch that executes a portal of an earlier one then counts as one that may commit (LW002).

Before: TestLostCommitOfEarlierPortalIsUnknown failed for the unnamed and the named portal. After: it passes, with all tests of entry/internal/caller and entry/internal/relay under the race detector.

--- a/entry/internal/caller/exchange.go
+++ b/entry/internal/caller/exchange.go
@@ -273,6 +273,7 @@
 	}
 	c.block.wrote = x.wrote
 	c.block.implicit = x.readyOffset == 0
+	c.block.boundCommit = c.block.boundCommit || !c.buffers.request.SimpleQuery && relay.MayCommit(c.buffers.request.Data)
 	return c.write(c.buffers.answer), nil
 }
 
--- a/entry/internal/caller/protocol_test.go
+++ b/entry/internal/caller/protocol_test.go
@@ -122,6 +122,22 @@
 	c.expect("after it", c.exchange(0, &pgproto3.Query{String: "SELECT key FROM stock"}), "RowDescription", "DataRow", "SELECT 1", "ready I")
 }
 
+// Guards against the promise that a lost transaction is rolled back when its commit was bound in an earlier batch than the one that runs it.
+func TestLostCommitOfEarlierPortalIsUnknown(t *testing.T) {
+	for _, portal := range []string{"", "p"} {
+		t.Run("portal "+portal, func(t *testing.T) {
+			f := newFleet(t, nil)
+			c := f.newEntry().newFrontend(t)
+			sync := &pgproto3.Sync{}
+			c.expect("begin", c.exchange(0, &pgproto3.Query{String: "BEGIN"}), "BEGIN", "ready T")
+			c.expect("insert", c.exchange(0, &pgproto3.Query{String: "/*route='order'*/ INSERT INTO stock (key, value) VALUES ('a', 1)"}), "INSERT 0 1", "ready T")
+			c.expect("bind", c.exchange(0, parse("COMMIT"), &pgproto3.Bind{DestinationPortal: portal}, sync), "ParseComplete", "BindComplete", "ready T")
+			f.databases[0].DropConnections()
+			c.expect("commit", c.exchange(0, &pgproto3.Execute{Portal: portal}, sync), "LW002", "ready I")
+		})
+	}
+}
+
 func TestEveryQueryExecModeOfTheDriverWorks(t *testing.T) {
 	f := newFleet(t, nil)
 	e := f.newEntry()
--- a/entry/internal/caller/run.go
+++ b/entry/internal/caller/run.go
@@ -120,6 +120,8 @@
 	wrote    bool
 	// implicit is set while no ReadyForQuery has reported an open block; the next Sync then commits.
 	implicit bool
+	// boundCommit is set once a batch has bound a portal whose statement may commit; a later batch may execute the portal.
+	boundCommit bool
 }
 
 // continueBlock runs the next batch of an open block.
@@ -131,7 +133,8 @@
 	c.setRunningTx(b.tx)
 	x := &c.buffers.exchange
 	*x = exchange{caller: c, tx: b.tx, target: &b.target, admitted: &b.admitted, sendStart: time.Now(), inBlock: true, wrote: b.wrote}
-	x.mayCommit = b.implicit || relay.MayCommit(c.buffers.request.Data)
+	r := &c.buffers.request
+	x.mayCommit = b.implicit || r.ExecutesEarlierPortal && b.boundCommit || relay.MayCommit(r.Data)
 	if err := b.tx.Send(c.buffers.request.Data); err != nil {
 		return c.handleLostBlock(x, outcome.FromError(err))
 	}
--- a/entry/internal/relay/request.go
+++ b/entry/internal/relay/request.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"slices"
 )
 
 // Errors about a caller's messages.
@@ -38,14 +39,16 @@
 	HasBegin bool
 	// EndsWithSync reports whether the request ends with Query or Sync rather than Flush.
 	EndsWithSync bool
+	// ExecutesEarlierPortal reports whether the request executes a portal that an earlier request has bound.
+	ExecutesEarlierPortal bool
 
-	prepared      [][]byte
-	routedByBegin bool
+	prepared, portals [][]byte
+	routedByBegin     bool
 }
 
 // Reset empties the request and keeps its memory for reuse.
 func (r *Request) Reset() {
-	*r = Request{Data: r.Data[:0], prepared: r.prepared[:0]}
+	*r = Request{Data: r.Data[:0], prepared: r.prepared[:0], portals: r.portals[:0]}
 }
 
 // Rewriter rewrites a caller's messages into requests.
@@ -105,7 +108,7 @@
 	case KindClose:
 		return w.close(r, body)
 	case KindExecute:
-		r.Executes, r.NeedsDatabase = true, true
+		return r.execute(body)
 	case KindSync:
 		r.EndsWithSync = true
 	case KindFlush:
@@ -182,6 +185,18 @@
 	return statement, nil
 }
 
+func (r *Request) execute(body []byte) error {
+	portal, _, err := CutString(body)
+	if err != nil {
+		return err
+	}
+	bound := slices.ContainsFunc(r.portals, func(name []byte) bool { return bytes.Equal(name, portal) })
+	r.ExecutesEarlierPortal = r.ExecutesEarlierPortal || !bound
+	r.Executes, r.NeedsDatabase = true, true
+	r.append(KindExecute, body)
+	return nil
+}
+
 func (w *Rewriter) bind(r *Request, body []byte) error {
 	portal, rest, err := CutString(body)
 	if err != nil {
@@ -195,6 +210,7 @@
 	if err != nil {
 		return err
 	}
+	r.portals = append(r.portals, portal)
 	r.Data = AppendHeader(r.Data, KindBind, len(portal)+1+len(statement.internalName)+1+len(rest))
 	r.Data = append(r.Data, portal...)
 	r.Data = append(r.Data, 0)
