control, entry: entries and seeds always learn where control is

Cause: entries got the list of control processes only beside a new configuration or roster, and their settings were read again on SIGHUP only. Seeds without data folders knew no member and were told by none.

Change: renewals carry a digest of the list, and the leader sends the list whenever it differs. The leader tells its unregistered seeds, and no others, every 2 s where control is. Whoever reaches no leader for 2 s reads the addresses in its settings again. The folder is synced after the rename of contacts.json.

Load at control: not measured yet.

--- a/control/coordinator/coordinator.go
+++ b/control/coordinator/coordinator.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -54,6 +55,8 @@
 	Address string
 	// Seeds are the addresses of control processes listed in the settings.
 	Seeds []string
+	// RereadSeeds returns the addresses of control processes that the settings name now, or nil if they can't be read.
+	RereadSeeds func() []string
 	// FirstStart means that no process of the fleet has run before, so that the seeds bootstrap the replicated log.
 	FirstStart bool
 	DataFolder string
@@ -125,6 +128,8 @@
 	lastLeader atomic.Pointer[string]
 	// savedPeers are the addresses returned by the last registration, as saved on disk.
 	savedPeers atomic.Pointer[[]string]
+	// savePeersMu serializes the writes of savedPeers to disk.
+	savePeersMu sync.Mutex
 }
 
 // view is an immutable copy of the state machine's status for readers outside the loop.
--- a/control/coordinator/leadership.go
+++ b/control/coordinator/leadership.go
@@ -338,8 +338,10 @@
 		reply.Roster = &next
 	}
 	hasChanges := reply.Document != nil || reply.Roster != nil || reply.Designations != nil || reply.Evacuations != nil
-	if reply.Document != nil || reply.Roster != nil {
-		reply.Controls = l.c.controlAddresses()
+	if controls := l.c.liveControls(now); fleet.DigestControls(controls) != request.Controls {
+		reply.Controls = controls
+		// An entry of an older version sends no digest. Its renewals must wait all the same.
+		hasChanges = hasChanges || request.Controls != 0
 	}
 	// If the leader lease still holds now, it also held when the state was read.
 	_, leads = l.c.leading()
--- a/control/coordinator/members.go
+++ b/control/coordinator/members.go
@@ -19,6 +19,8 @@
 	// registerInterval is the time between two registrations of a process.
 	registerInterval = 400 * time.Millisecond
 	registerTimeout  = 700 * time.Millisecond
+	// rereadInterval is the time without an answer of a leader after which the settings are read again.
+	rereadInterval = 2 * time.Second
 	// standbyTimeout is how long after its last registration a process may be added as a member.
 	standbyTimeout = 1500 * time.Millisecond
 	// replaceAfter is how long a member may be silent before it is replaced; a restart takes about a second.
@@ -26,6 +28,8 @@
 	// removeLearnerAfter is how long a learner, which has never voted, may be silent before it is removed.
 	removeLearnerAfter = 4 * time.Second
 	maxMembers         = 7
+	// seedNoticeInterval is the time between two notices to the seeds that have not registered.
+	seedNoticeInterval = 2 * time.Second
 )
 
 // standby is a control process that is not a member but may become one.
@@ -50,24 +54,73 @@
 func (c *Coordinator) registerLoop(ctx context.Context) error {
 	ticker := time.NewTicker(registerInterval)
 	defer ticker.Stop()
+	answered, noticed := c.cfg.Now(), time.Time{}
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
 		}
+		now := c.cfg.Now()
 		if _, leads := c.leading(); leads {
+			answered = now
 			c.reconcileMembers(ctx)
+			if now.Sub(noticed) >= seedNoticeInterval {
+				noticed = now
+				c.notifyUnregisteredSeeds(ctx, now)
+			}
 			continue
 		}
-		c.registerWithLeader(ctx)
+		if c.registerWithLeader(ctx) {
+			answered = now
+		} else if now.Sub(answered) >= rereadInterval {
+			answered = now
+			if seeds := c.cfg.RereadSeeds(); len(seeds) > 0 {
+				c.SetSeeds(seeds)
+			}
+		}
 	}
 }
 
-func (c *Coordinator) registerWithLeader(ctx context.Context) {
+// notifyUnregisteredSeeds sends the addresses of the control processes to the seeds that have not registered. Such a seed may know none of
+// them, because it has lost its data folder, and the entries that start ask only the seeds.
+func (c *Coordinator) notifyUnregisteredSeeds(ctx context.Context, now time.Time) {
+	known := c.liveControls(now)
+	for _, seed := range *c.seeds.Load() {
+		if slices.Contains(known, seed) {
+			continue
+		}
+		c.group.Go(func() error {
+			ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+			defer cancel()
+			if err := c.cfg.Client.Call(ctx, seed, fleet.KindControls, fleet.ControlList{Addresses: known}, &fleet.Empty{}); err != nil {
+				c.cfg.Log.Debug().Err(err).Str("address", seed).Msg("seedNotNotified")
+			}
+			return nil
+		})
+	}
+}
+
+// handleControls saves the addresses of the control processes; the next registration uses them.
+func (c *Coordinator) handleControls(_ context.Context, _ inventory.InstanceName, list fleet.ControlList) (fleet.Empty, error) {
+	known := slices.Clone(list.Addresses)
+	if saved := c.savedPeers.Load(); saved != nil {
+		// Addresses are dropped only for the list of a leader that has answered a registration.
+		for _, address := range *saved {
+			if !slices.Contains(known, address) {
+				known = append(known, address)
+			}
+		}
+	}
+	c.saveKnownPeers(known)
+	return fleet.Empty{}, nil
+}
+
+// registerWithLeader reports whether a leader has answered.
+func (c *Coordinator) registerWithLeader(ctx context.Context) bool {
 	v := c.view.Load()
 	if v.self == 0 {
-		return
+		return false
 	}
 	registration := fleet.Registration{Member: v.self, Name: c.cfg.Instance, Address: c.cfg.Address, Fresh: v.fresh}
 	reply, ok := c.sendRegistration(ctx, registration)
@@ -78,6 +131,7 @@
 		case <-ctx.Done():
 		}
 	}
+	return ok
 }
 
 // sendRegistration tries all known control processes until the leader answers; other processes may return the leader's address.
@@ -109,6 +163,22 @@
 	return reply, err
 }
 
+// liveControls returns the addresses of the members and of the processes that have registered recently. Only the leader knows the latter.
+func (c *Coordinator) liveControls(now time.Time) []string {
+	var addresses []string
+	for _, member := range c.view.Load().membership.Members {
+		addresses = append(addresses, member.Address)
+	}
+	c.members.mu.Lock()
+	defer c.members.mu.Unlock()
+	for _, s := range c.members.standbys {
+		if now.Sub(s.lastContact) <= standbyTimeout && !slices.Contains(addresses, s.address) {
+			addresses = append(addresses, s.address)
+		}
+	}
+	return addresses
+}
+
 // controlAddresses returns the addresses of all known control processes, the leader first.
 func (c *Coordinator) controlAddresses() []string {
 	v := c.view.Load()
@@ -173,7 +243,7 @@
 		c.members.standbys[r.Member] = standby{name: r.Name, address: r.Address, lastContact: c.cfg.Now()}
 		c.members.mu.Unlock()
 	}
-	reply := fleet.RegistrationReply{Member: member, Controls: c.controlAddresses()}
+	reply := fleet.RegistrationReply{Member: member, Controls: c.liveControls(c.cfg.Now())}
 	if _, leads := c.leading(); !leads {
 		// Another leader may have changed the members since they were read.
 		return fleet.RegistrationReply{}, c.notLeaderRefusal()
--- a/control/coordinator/peers.go
+++ b/control/coordinator/peers.go
@@ -34,6 +34,8 @@
 
 // saveKnownPeers writes the known addresses to the data folder if they have changed.
 func (c *Coordinator) saveKnownPeers(addresses []string) {
+	c.savePeersMu.Lock()
+	defer c.savePeersMu.Unlock()
 	addresses = slices.Sorted(slices.Values(addresses))
 	if saved := c.savedPeers.Load(); saved != nil && slices.Equal(*saved, addresses) {
 		return
@@ -61,5 +63,13 @@
 	if err := os.Rename(next, path); err != nil {
 		return fmt.Errorf("coordinator: contacts: %w", err)
 	}
+	// Without this a power loss may undo the rename.
+	folder, err := os.Open(filepath.Dir(path))
+	if err != nil {
+		return fmt.Errorf("coordinator: contacts: %w", err)
+	}
+	if err := errors.Join(folder.Sync(), folder.Close()); err != nil {
+		return fmt.Errorf("coordinator: contacts: %w", err)
+	}
 	return nil
 }
--- a/control/coordinator/service.go
+++ b/control/coordinator/service.go
@@ -25,6 +25,7 @@
 	server.Handle(protocol.KindDraw, peer.TypedHandler(c.leader.handleDraw))
 	server.Handle(fleet.KindRenew, peer.TypedHandler(c.leader.handleRenew))
 	server.Handle(fleet.KindRegister, peer.TypedHandler(c.handleRegister))
+	server.Handle(fleet.KindControls, peer.TypedHandler(c.handleControls))
 	server.Handle(fleet.KindAnnounce, peer.TypedHandler(func(_ context.Context, _ inventory.InstanceName, s fleet.Server) (fleet.Empty, error) {
 		if err := s.Check(); err != nil {
 			return fleet.Empty{}, &protocol.Refusal{Code: protocol.CodeInvalid, Message: err.Error()}
--- a/entry/renewal/agent.go
+++ b/entry/renewal/agent.go
@@ -25,6 +25,8 @@
 	answerMargin = 250 * time.Millisecond
 	// retryDelay is the delay after all known control processes have failed.
 	retryDelay = 50 * time.Millisecond
+	// rereadInterval is the time without control after which the settings are read again, and then the time between two readings.
+	rereadInterval = 2 * time.Second
 )
 
 // EntryState is the state of the entry that control updates and the entry reports.
@@ -55,7 +57,9 @@
 	State  EntryState
 	// Decode converts a document to a policy.
 	Decode func(document fleet.Document) (*policy.Policy, error)
-	Log    *log.Logger
+	// RereadSeeds returns the addresses of control processes that the settings name now, or nil if they can't be read.
+	RereadSeeds func() []string
+	Log         *log.Logger
 	// Now is a clock that includes the time in which the system was suspended.
 	Now func() time.Time
 }
@@ -78,6 +82,8 @@
 	// renewals counts the renewals sent.
 	renewals     uint64
 	disconnected bool
+	// rereadAt is the time at which the settings are read again while control is not reached.
+	rereadAt time.Time
 }
 
 // New returns an agent that starts with the seed addresses.
@@ -133,10 +139,17 @@
 			}
 		}
 	}
+	now := a.cfg.Now()
 	if !a.disconnected {
-		a.disconnected = true
+		a.disconnected, a.rereadAt = true, now.Add(rereadInterval)
 		a.cfg.Log.Warn().Str("dependency", "control").Msg("dependencyLost")
 	}
+	if now.After(a.rereadAt) {
+		a.rereadAt = now.Add(rereadInterval)
+		if seeds := a.cfg.RereadSeeds(); len(seeds) > 0 {
+			a.SetSeeds(seeds)
+		}
+	}
 	return false
 }
 
@@ -196,6 +209,9 @@
 	request := fleet.RenewRequest{Roster: a.roster.Version, Wait: maxHold, Reports: a.sampledReports(), Relay: relay, Entry: a.cfg.Entry}
 	request.Designations, request.Evacuations = a.cfg.State.Designations(), a.cfg.State.Evacuations()
 	request.Entry.Leaving = a.cfg.State.Draining()
+	a.mu.Lock()
+	request.Controls = fleet.DigestControls(a.controls)
+	a.mu.Unlock()
 	if current := a.cfg.State.Policy(); current != nil {
 		request.Version = current.Version
 	}
--- a/lentilwind/fleet/fleet.go
+++ b/lentilwind/fleet/fleet.go
@@ -25,6 +25,8 @@
 	KindEvacuate protocol.Kind = "fleetEvacuate"
 	// KindRegister is a Registration of a control process. The reply is a RegistrationReply.
 	KindRegister protocol.Kind = "fleetRegister"
+	// KindControls is a ControlList that the leader sends to a control process that has not registered. The reply is Empty.
+	KindControls protocol.Kind = "fleetControls"
 )
 
 // Server is one database as it announces itself.
@@ -118,6 +120,8 @@
 	Designations Epoch `cbor:"7,keyasint,omitempty"`
 	// Evacuations is the newest list of evacuations that the entry obeys.
 	Evacuations evacuation.Version `cbor:"8,keyasint,omitempty"`
+	// Controls is the digest of the newest list of control processes that the entry has; 0 if it has none.
+	Controls ControlsDigest `cbor:"9,keyasint,omitempty"`
 }
 
 // EvacuationOrder withdraws the databases of a data centre from service, or ends that.
@@ -134,7 +138,7 @@
 	Version  policy.Version `cbor:"2,keyasint"`
 	Document *Document      `cbor:"3,keyasint,omitempty"`
 	Roster   *Roster        `cbor:"4,keyasint,omitempty"`
-	// Controls lists the addresses of the control processes, the leader first.
+	// Controls lists the addresses of the control processes if their digest differs from that of the request.
 	Controls []string `cbor:"5,keyasint,omitempty"`
 	// PrimaryLease is how long the designated primaries may be used, counted from the sending of the request; 0 grants nothing.
 	PrimaryLease time.Duration `cbor:"6,keyasint,omitempty"`
@@ -162,3 +166,8 @@
 	// Controls lists the addresses of all known control processes.
 	Controls []string `cbor:"2,keyasint,omitempty"`
 }
+
+// ControlList tells a control process where the others are.
+type ControlList struct {
+	Addresses []string `cbor:"1,keyasint"`
+}
