--- a/entry/proxy/conn.go
+++ b/entry/proxy/conn.go
@@ -2,7 +2,7 @@
 
 import (
 	"errors"
-	"maps"
+	"hash/maphash"
 	"strconv"
 	"time"
 
@@ -15,25 +15,25 @@
 
 var errSetup = errors.New("proxy: the connection could not be made fit for the session")
 
-func equalValues(a, b map[string]string) bool { return maps.Equal(a, b) }
-
 // prepareFor applies a session's values to the connection and prepares the statement that is about to run. If it fails, no statement
 // of the client has run.
 func (conn *pooledConn) prepareFor(values map[string]string, prepared *forward.PreparedStatement) error {
+	wanted := digestValues(values)
 	var setup []statement.Statement
 	for name := range conn.values {
-		if _, found := values[name]; !found {
+		if _, found := wanted[name]; !found {
 			setup = append(setup, statement.Statement{ID: statement.ProxyID, Verb: statement.Reset})
-			conn.values, conn.prepared, conn.stateBytes = nil, nil, 0
+			conn.forgetState()
 			break
 		}
 	}
 	for name, value := range values {
-		if conn.values[name] != value {
+		if conn.values[digestText(name)] != digestText(value) {
 			setup = append(setup, statement.Statement{ID: statement.ProxyID, Verb: statement.Set, Name: name, Value: value})
 		}
 	}
-	if prepared != nil && conn.prepared[*prepared] == "" {
+	if prepared != nil && conn.statementName(*prepared) == "" {
+		setup = append(setup, conn.deallocateForRoom(len(prepared.Text))...)
 		setup = append(setup, statement.Statement{
 			ID: statement.ProxyID, Verb: statement.Prepare, Name: conn.nextStatementName(), Value: prepared.Text, ReadOnly: prepared.ReadOnly,
 		})
@@ -41,10 +41,29 @@
 	if len(setup) == 0 {
 		return nil
 	}
-	return conn.runSetup(setup, values, prepared)
+	return conn.runSetup(setup, wanted, prepared)
+}
+
+// forgetState records that the database holds neither values nor prepared statements for the connection.
+func (conn *pooledConn) forgetState() {
+	conn.values, conn.prepared, conn.statementCount, conn.valueBytes, conn.preparedBytes = nil, nil, 0, 0, 0
 }
 
-func (conn *pooledConn) runSetup(setup []statement.Statement, values map[string]string, prepared *forward.PreparedStatement) error {
+// deallocateForRoom returns statements that drop the prepared statements of the connection if one more text would exceed the limit. A
+// transaction may prepare any number of them.
+func (conn *pooledConn) deallocateForRoom(textBytes int) []statement.Statement {
+	if conn.preparedBytes+textBytes+stateOverhead <= maxPreparedBytes {
+		return nil
+	}
+	var drop []statement.Statement
+	for _, name := range conn.prepared {
+		drop = append(drop, statement.Statement{ID: statement.ProxyID, Verb: statement.Deallocate, Name: name})
+	}
+	conn.prepared, conn.preparedBytes = nil, 0
+	return drop
+}
+
+func (conn *pooledConn) runSetup(setup []statement.Statement, wanted map[textDigest]textDigest, prepared *forward.PreparedStatement) error {
 	answers, err := conn.exchange(setupTimeout, setup...)
 	if err != nil {
 		return err
@@ -55,21 +74,62 @@
 			return errSetup
 		}
 	}
-	conn.values = maps.Clone(values)
+	conn.values = wanted
 	for _, st := range setup {
-		conn.stateBytes += len(st.Name) + len(st.Value)
+		if st.Verb == statement.Set {
+			conn.valueBytes += stateBytes(st.Name, st.Value)
+		}
 	}
-	if prepared != nil && conn.prepared[*prepared] == "" {
+	if prepared != nil && conn.statementName(*prepared) == "" {
 		if conn.prepared == nil {
-			conn.prepared = make(map[forward.PreparedStatement]string)
+			conn.prepared = make(map[preparedKey]string)
 		}
-		conn.prepared[*prepared] = conn.nextStatementName()
+		conn.prepared[keyOf(*prepared)] = conn.nextStatementName()
+		conn.preparedBytes += len(prepared.Text) + stateOverhead
+		conn.statementCount++
 	}
 	return nil
 }
 
+// statementName returns the name of a prepared statement at the database, or an empty one if the connection has not prepared it.
+func (conn *pooledConn) statementName(prepared forward.PreparedStatement) string {
+	return conn.prepared[keyOf(prepared)]
+}
+
 // nextStatementName returns the name of the next prepared statement. A name is never reused between two resets.
-func (conn *pooledConn) nextStatementName() string { return "p" + strconv.Itoa(len(conn.prepared)+1) }
+func (conn *pooledConn) nextStatementName() string { return "p" + strconv.Itoa(conn.statementCount+1) }
+
+// textDigest identifies a text of a client without keeping it, since the connections outlive the account of the session that sent it. It
+// is seeded, so that clients can't choose two texts with the same digest.
+type textDigest [2]uint64
+
+var digestSeeds = [...]maphash.Seed{maphash.MakeSeed(), maphash.MakeSeed()}
+
+func digestText(text string) textDigest {
+	return textDigest{maphash.String(digestSeeds[0], text), maphash.String(digestSeeds[1], text)}
+}
+
+// digestValues returns the digests of a session's values by the digests of their names.
+func digestValues(values map[string]string) map[textDigest]textDigest {
+	if len(values) == 0 {
+		return nil
+	}
+	digests := make(map[textDigest]textDigest, len(values))
+	for name, value := range values {
+		digests[digestText(name)] = digestText(value)
+	}
+	return digests
+}
+
+// preparedKey identifies a prepared statement.
+type preparedKey struct {
+	readOnly bool
+	text     textDigest
+}
+
+func keyOf(prepared forward.PreparedStatement) preparedKey {
+	return preparedKey{readOnly: prepared.ReadOnly, text: digestText(prepared.Text)}
+}
 
 var errMismatchedAnswer = errors.New("proxy: the answer belongs to another statement")
 
--- a/entry/proxy/executor.go
+++ b/entry/proxy/executor.go
@@ -137,7 +137,7 @@
 	copy(statements, work.Statements)
 	for i := range statements {
 		if statements[i].Verb == statement.Execute && work.Prepared != nil {
-			statements[i].Name = conn.prepared[*work.Prepared]
+			statements[i].Name = conn.statementName(*work.Prepared)
 		}
 	}
 	rollbackAfter := work.Begin != nil && !work.HoldConnection
--- a/entry/proxy/pool.go
+++ b/entry/proxy/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -48,21 +49,27 @@
 	backend   database.Connection
 	pool      *pool
 	workspace inventory.WorkspaceName
-	values    map[string]string
-	prepared  map[forward.PreparedStatement]string
+	// values are the session values that are set on the connection, and prepared the names of its prepared statements.
+	values   map[textDigest]textDigest
+	prepared map[preparedKey]string
+	// statementCount is the number of statements prepared since the last reset.
+	statementCount int
 	// workStarted is the start of the current work, running the number of statements that ran on the database then, and class its urgency.
 	workStarted time.Time
 	running     int
 	class       int
 	lastUsed    time.Time
 	broken      bool
-	// stateBytes is the size of the values and prepared statements that the connection holds.
-	stateBytes int
+	// valueBytes and preparedBytes are what the values and the prepared statements take at the database.
+	valueBytes, preparedBytes int
 }
 
 // maxIdleStateBytes limits the state of a connection that is kept for the next session. A session with more costs a new connection.
 const maxIdleStateBytes = 64 << 10
 
+// maxPreparedBytes limits the prepared statements of a connection. Beyond it, those that are not about to run are dropped.
+const maxPreparedBytes = 64 << 10
+
 // pool holds this entry's connections to one database and queues the work for it.
 type pool struct {
 	server    fleet.Server
@@ -133,14 +140,14 @@
 }
 
 // takeIdle removes and returns an idle connection of the workspace, preferring equal session values and then the most recently used one.
-func (p *pool) takeIdle(workspace inventory.WorkspaceName, values map[string]string) *pooledConn {
+func (p *pool) takeIdle(workspace inventory.WorkspaceName, values map[textDigest]textDigest) *pooledConn {
 	best := -1
 	for i := len(p.idle) - 1; i >= 0; i-- {
 		conn := p.idle[i]
 		if conn.workspace != workspace {
 			continue
 		}
-		if equalValues(conn.values, values) {
+		if maps.Equal(conn.values, values) {
 			best = i
 			break
 		}
@@ -258,7 +265,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.recordServiceTime(conn)
-	if p.closed || p.open > p.maxOpen || conn.stateBytes > maxIdleStateBytes {
+	if p.closed || p.open > p.maxOpen || conn.valueBytes+conn.preparedBytes > maxIdleStateBytes {
 		conn.backend.Close()
 		p.releaseCapacity()
 		return
--- a/entry/proxy/pool_queue.go
+++ b/entry/proxy/pool_queue.go
@@ -30,7 +30,7 @@
 // waiter is work that waits in the queue of a pool.
 type waiter struct {
 	workspace inventory.WorkspaceName
-	values    map[string]string
+	values    map[textDigest]textDigest
 	item      *queue.Item[inventory.WorkspaceName, *waiter]
 	granted   chan grant
 }
@@ -48,6 +48,7 @@
 
 // requestGrant returns a grant if the work may run at once, or else a place in the queue.
 func (p *pool) requestGrant(work forward.Work) (grant, *waiter) {
+	values := digestValues(work.Values)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch {
@@ -59,11 +60,11 @@
 	now := p.now()
 	limit := p.limit(now)
 	if p.queue.Len() == 0 && p.running < limit {
-		if conn, ok := p.reserve(work.Workspace, work.Values); ok {
+		if conn, ok := p.reserve(work.Workspace, values); ok {
 			return grant{conn: conn, running: p.running}, nil
 		}
 	}
-	w := &waiter{workspace: work.Workspace, values: work.Values, granted: make(chan grant, 1)}
+	w := &waiter{workspace: work.Workspace, values: values, granted: make(chan grant, 1)}
 	pushed := p.queue.Push(queue.Request[inventory.WorkspaceName, *waiter]{
 		Key: work.Workspace, Class: work.Priority + 1, Deadline: now.Add(work.MaxQueueWait), Interval: p.meanServiceTime / time.Duration(limit), Value: w,
 	}, now)
@@ -85,7 +86,7 @@
 
 // reserve counts one more running work. It takes an idle connection, or reserves the capacity to open one, and reports false if neither is
 // available.
-func (p *pool) reserve(workspace inventory.WorkspaceName, values map[string]string) (*pooledConn, bool) {
+func (p *pool) reserve(workspace inventory.WorkspaceName, values map[textDigest]textDigest) (*pooledConn, bool) {
 	if conn := p.takeIdle(workspace, values); conn != nil {
 		p.running++
 		return conn, true
--- a/entry/proxy/request_log.go
+++ b/entry/proxy/request_log.go
@@ -32,6 +32,11 @@
 	outcome     statement.Outcome
 }
 
+// maxLoggedBytes limits a text in a log line that clients or databases have chosen.
+const maxLoggedBytes = 128
+
+func clip(text string) string { return text[:min(len(text), maxLoggedBytes)] }
+
 // histogram counts latencies by bucket. The last bucket has no upper bound.
 type histogram struct {
 	buckets [len(latencyBounds) + 1]uint64
@@ -89,8 +94,8 @@
 	if found := (*admission.Error)(nil); errors.As(cause, &found) {
 		quotaErr = *found
 	}
-	p.cfg.Log.Info().Str("request", string(id)).Strs("earlier", preceding).Str("database", string(s.database)).Str("workspace", string(s.workspace)).
-		Str("reason", reason).Str("outcome", string(answer.Outcome)).Str("detail", answer.Detail).Uint64("version", version).
+	p.cfg.Log.Info().Str("request", clip(string(id))).Strs("earlier", preceding).Str("database", clip(string(s.database))).Str("workspace", string(s.workspace)).
+		Str("reason", reason).Str("outcome", string(answer.Outcome)).Str("detail", clip(answer.Detail)).Uint64("version", version).
 		Int64("waitedMs", quotaErr.Waited.Milliseconds()).Int64("contactAgeMs", quotaErr.LeaderContactAge.Milliseconds()).
 		Int64("leaseLeftMs", p.leaseUntil.Load().Sub(now).Milliseconds()).Uint64("folded", suppressed).Msg("requestRefused")
 }
@@ -105,18 +110,15 @@
 	allowed, suppressed := p.counters.allowLine(p.cfg.Now())
 	p.counters.mu.Unlock()
 	if allowed {
-		p.cfg.Log.Info().Str("request", string(id)).Str("workspace", string(work.Workspace)).Str("reason", string(refusal)).
+		p.cfg.Log.Info().Str("request", clip(string(id))).Str("workspace", string(work.Workspace)).Str("reason", string(refusal)).
 			Uint64("folded", suppressed).Msg("heldConnectionRefused")
 	}
 }
 
 // takePreceding returns and clears the statements that preceded an operation.
 func (s *session) takePreceding() []string {
-	ids := make([]string, len(s.preceding))
-	for i, id := range s.preceding {
-		ids[i] = string(id)
-	}
-	s.preceding = s.preceding[:0]
+	ids := s.preceding
+	s.preceding = nil
 	return ids
 }
 
@@ -163,9 +165,9 @@
 	if done {
 		event = "requestServed"
 	}
-	p.cfg.Log.Info().Str("request", string(op.id)).Strs("earlier", preceding).Str("database", string(s.database)).Str("service", string(op.route.Service)).
+	p.cfg.Log.Info().Str("request", clip(string(op.id))).Strs("earlier", preceding).Str("database", clip(string(s.database))).Str("service", string(op.route.Service)).
 		Str("workspace", string(s.workspace)).Str("consistency", string(op.route.Consistency)).Str("outcome", string(answer.Outcome)).
-		Str("detail", answer.Detail).Int64("tookMs", elapsed.Milliseconds()).Int("offers", op.attempts).Str("primary", primary).
+		Str("detail", clip(answer.Detail)).Int64("tookMs", elapsed.Milliseconds()).Int("offers", op.attempts).Str("primary", primary).
 		Uint64("floorTerm", uint64(op.minPosition.Term)).Uint64("floorNumber", uint64(op.minPosition.Position)).Int64("proofAgeMs", age.Milliseconds()).
 		Uint64("version", uint64(p.Policy().Version)).Int64("leaseLeftMs", p.leaseUntil.Load().Sub(now).Milliseconds()).
 		Uint64("folded", suppressed).Msg(event)
--- a/entry/proxy/session.go
+++ b/entry/proxy/session.go
@@ -35,7 +35,7 @@
 	tx        *transaction
 	// preceding holds the first statements since the last operation that were answered without a database. Clients may identify the operation
 	// by them.
-	preceding []statement.ID
+	preceding []string
 
 	// idle is true while the session waits for a statement outside a transaction, and starting until its START message has arrived. waitNumber
 	// orders the beginnings of the sessions' waits. They are read by other goroutines.
@@ -250,7 +250,7 @@
 func (s *session) addPreceding(id statement.ID) {
 	if len(s.preceding) < maxPreceding {
 		// A copy, because the ID is a part of the message, which may be large.
-		s.preceding = append(s.preceding, statement.ID(strings.Clone(string(id))))
+		s.preceding = append(s.preceding, strings.Clone(clip(string(id))))
 	}
 }
 
