entry: a leaving primary gets no new work after its drain time

Cause: only the lead of another database ended its use; nothing counted the time.

Open transactions go on.

--- a/entry/proxy/cluster.go
+++ b/entry/proxy/cluster.go
@@ -62,6 +62,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.primaryDrained(now, designated) {
+		return nil
+	}
 	var best *pool
 	bestRank := 0
 	for id, p := range c.pools {
@@ -69,7 +72,7 @@
 		switch {
 		case designated != "" && id != designated:
 			continue
-		case now.Sub(c.refusedAt[id]) < primaryRefusalPeriod, c.proxy.withdrawn(p.server):
+		case now.Sub(c.refusedAt[id]) < primaryRefusalPeriod, c.proxy.withdrawn(p.server), p.drained(now, c.proxy.cfg.DrainTime):
 			continue
 		case id == c.primary:
 			rank = 4
--- /dev/null
+++ b/entry/proxy/drain_test.go
@@ -0,0 +1,96 @@
+package proxy_test
+
+import (
+	"testing"
+	"time"
+
+	"lentilwind.dev/entry/proxy"
+	"lentilwind.dev/instance/logs"
+	"lentilwind.dev/lentilwind/fleet"
+	"lentilwind.dev/lentilwind/group"
+	"lentilwind.dev/lentilwind/statement"
+)
+
+const testDrainTime = 400 * time.Millisecond
+
+// newDrainingEntry returns an entry that sends no new work to a database that has been leaving for testDrainTime.
+func newDrainingEntry(t *testing.T, d *databases, roster fleet.Roster) *entry {
+	t.Helper()
+	p := proxy.New(proxy.Config{
+		Instance: "e", DataCentre: "near", Connector: d, Admission: admitAll{}, Log: logs.Discard(), Now: time.Now, DrainTime: testDrainTime,
+	})
+	p.SetPolicy(testPolicy(t, 1, "key"))
+	p.SetRoster(roster)
+	p.ExtendLease(time.Now().Add(time.Hour))
+	return &entry{p, t}
+}
+
+// leavingRoster returns a roster in which the primary leaves.
+func leavingRoster(d *databases) fleet.Roster {
+	roster := newRoster(d)
+	for i, s := range roster.Servers {
+		roster.Servers[i].Leaving = s.Primary
+	}
+	return roster
+}
+
+// executedBy returns how many statements a server has run.
+func (d *databases) executedBy(name group.Server) int {
+	n := 0
+	d.update(func(s map[group.Server]*server) { n = len(s[name].executed) })
+	return n
+}
+
+// checkRefusedAtOnce checks that new work is refused long before its timeout, and that no server gets any of it.
+func checkRefusedAtOnce(t *testing.T, d *databases, c *clientConn) {
+	t.Helper()
+	before, start := d.executedBy("a")+d.executedBy("b"), time.Now()
+	for _, st := range []statement.Statement{{ID: "w", Verb: statement.Write, Text: "WRITE x 1"}, {ID: "r", Verb: statement.Read, Text: "READ x"}} {
+		if a := c.send(st); a.Outcome != statement.Busy {
+			t.Errorf("%s was answered with %q: %s", st.Text, a.Outcome, a.Detail)
+		}
+	}
+	c.execute("b", statement.Begin, "BEGIN")
+	if a := c.execute("f", statement.Read, "READ x"); a.Outcome != statement.Busy {
+		t.Errorf("the first statement of a transaction was answered with %q: %s", a.Outcome, a.Detail)
+	}
+	c.execute("e", statement.Rollback, "ROLLBACK")
+	if took := time.Since(start); took > time.Second/2 {
+		t.Errorf("the refusals took %v", took)
+	}
+	if n := d.executedBy("a") + d.executedBy("b") - before; n != 0 {
+		t.Errorf("the databases ran %d statements", n)
+	}
+}
+
+// Guards against requests that reach a primary after it may have stopped, when nothing can replace it.
+func TestLeavingPrimaryGetsNoNewWorkAfterItsDrainTime(t *testing.T) {
+	d := newDatabases("a", "b")
+	e := newDrainingEntry(t, d, newRoster(d))
+	c, _ := e.open("orders", "key")
+	open, _ := e.open("orders", "key")
+	e.SetRoster(leavingRoster(d))
+	learned := time.Now()
+	if a := c.execute("w1", statement.Write, "WRITE x 1"); a.Outcome != statement.Done {
+		t.Errorf("within the drain time a write was answered with %q: %s", a.Outcome, a.Detail)
+	}
+	open.execute("b1", statement.Begin, "BEGIN")
+	open.execute("w2", statement.Write, "WRITE x 2")
+	time.Sleep(time.Until(learned.Add(testDrainTime)))
+	checkRefusedAtOnce(t, d, c)
+	if a := open.execute("c1", statement.Commit, "COMMIT"); a.Outcome != statement.Done {
+		t.Errorf("the commit of an open transaction was answered with %q: %s", a.Outcome, a.Detail)
+	}
+	d.update(func(s map[group.Server]*server) { s["a"].primary, s["b"].primary = false, true })
+	e.SetRoster(newRoster(d))
+	if a := c.execute("w3", statement.Write, "WRITE x 3"); a.Outcome != statement.Done {
+		t.Errorf("after the promotion a write was answered with %q: %s", a.Outcome, a.Detail)
+	}
+}
+
+// Guards against an entry that starts while a primary leaves and counts its drain time anew.
+func TestPrimaryThatWasLeavingAtTheStartGetsNoWork(t *testing.T) {
+	d := newDatabases("a", "b")
+	c, _ := newDrainingEntry(t, d, leavingRoster(d)).open("orders", "key")
+	checkRefusedAtOnce(t, d, c)
+}
--- a/entry/proxy/executor.go
+++ b/entry/proxy/executor.go
@@ -67,6 +67,9 @@
 	if p.withdrawn(pool.server) {
 		return failureResult(forward.NotSent, evacuatedDetail)
 	}
+	if pool.drained(p.cfg.Now(), p.cfg.DrainTime) {
+		return failureResult(forward.NotSent, errDrained.Error())
+	}
 	conn, err := pool.acquire(work)
 	if err != nil {
 		result := failureResult(forward.NotSent, err.Error())
--- a/entry/proxy/pool.go
+++ b/entry/proxy/pool.go
@@ -90,6 +90,8 @@
 	meanServiceTime time.Duration
 	closed          bool
 	replaced        bool
+	// leavingSince is when the server was first seen to leave; zero if it has not, or if it was leaving already when it became known.
+	leavingSince time.Time
 	// noConnectUntil is the time before which no connection is opened, because the database refused one.
 	noConnectUntil time.Time
 	// down is set when connecting fails, and cleared when a reconnect in the background succeeds.
@@ -363,5 +365,8 @@
 func (p *pool) setServer(server fleet.Server) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if server.Leaving && !p.server.Leaving && p.leavingSince.IsZero() {
+		p.leavingSince = p.now()
+	}
 	p.server.Primary, p.server.Leaving, p.server.Cold = server.Primary, server.Leaving, server.Cold
 }
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -37,7 +37,9 @@
 	// Regions holds the region of each data centre; it may be empty if no route or workspace is bound to regions.
 	Regions map[inventory.DataCentre]policy.Region
 	// LinkMbps is the speed of this entry's link in Mbit/s; 0 if it is not known. All entries must have the same value.
-	LinkMbps  float64
+	LinkMbps float64
+	// DrainTime is how long a database that leaves may get new work; 0 sets no bound.
+	DrainTime time.Duration
 	Connector database.Connector
 	Admission Admission
 	// Client forwards work to other entries.
--- a/entry/proxy/request.go
+++ b/entry/proxy/request.go
@@ -72,6 +72,8 @@
 		switch {
 		case p == nil && r.cluster.isWithdrawn():
 			return statement.FailureAnswer(statement.Busy, evacuatedDetail, statement.Idle)
+		case p == nil && r.cluster.isDrained(now):
+			return statement.FailureAnswer(statement.Busy, errDrained.Error(), statement.Idle)
 		case p != nil && !r.session.proxy.isHome(r.homes, p.server.DataCentre):
 			return statement.FailureAnswer(statement.Busy, outsideHomesDetail, statement.Idle)
 		}
