tests: a request that the driver has not sent is not a dropped one, and no refused one may have committed

TestRollingRestartDropsNoRequest failed at times with "failed to deallocate cached statement(s): conn closed".

Cause: after a refused request the driver first closes its cached statement. A restarting entry has ended the idle connection with 57P01 by then; the driver swallows the code and reports ErrConnClosed without having sent the next request. The entry drops nothing, so the test counted it wrongly.

Change: the test takes ErrConnClosed like 57P01. In exchange it now checks that no request that was refused or not sent has been committed at a database, which covers LW001 to LW005 and 57P01 as well.

--- a/tests/stop_test.go
+++ b/tests/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -9,6 +10,7 @@
 	"time"
 
 	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
 
 	"lentilwind.dev/bench/fleet"
 )
@@ -24,6 +26,10 @@
 	unknown      atomic.Int64
 	answered     atomic.Int64
 	firstFailure atomic.Pointer[string]
+
+	mu sync.Mutex
+	// notRun holds the rows of the requests that were refused, or that the driver has not sent.
+	notRun []string
 }
 
 func startTraffic(t *testing.T, f *fleet.Fleet, callers int) *traffic {
@@ -73,6 +79,19 @@
 	return nil
 }
 
+// checkNotRun checks that no request that was refused, or not sent, has committed.
+func (tr *traffic) checkNotRun(t *testing.T) {
+	t.Helper()
+	list := databaseEvents(t, tr.f)
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	for _, id := range tr.notRun {
+		if n := countCommits(list, id); n > 0 {
+			t.Errorf("the refused write of row %s was committed %d times", id, n)
+		}
+	}
+}
+
 // writeRow sends one write and reports whether the connection can be used further.
 func (tr *traffic) writeRow(conn *pgx.Conn, id string) bool {
 	err := insert(context.Background(), conn, id, "traffic")
@@ -80,10 +99,13 @@
 	case err == nil:
 		tr.answered.Add(1)
 		return true
-	case notRun(err):
+	case notRun(err), sqlState(err) == "57P01", errors.Is(err, pgconn.ErrConnClosed):
+		// After a refusal the driver first closes its prepared statement. If the entry has ended the connection with 57P01 by then, the
+		// driver sends nothing of the next request and reports ErrConnClosed instead.
+		tr.mu.Lock()
+		defer tr.mu.Unlock()
+		tr.notRun = append(tr.notRun, id)
 		return !conn.IsClosed()
-	case sqlState(err) == "57P01":
-		return false
 	case sqlState(err) == "LW002":
 		tr.unknown.Add(1)
 	default:
@@ -121,6 +143,7 @@
 		eventually(t, "catch up", func() error { return checkCaughtUp(t, f, c.Name()) })
 	}
 	tr.stop()
+	tr.checkNotRun(t)
 	if tr.dropped.Load() > 0 || tr.unknown.Load() > 0 {
 		t.Errorf("%d requests were dropped and %d have an unknown outcome; the first failure: %s", tr.dropped.Load(), tr.unknown.Load(), *tr.firstFailure.Load())
 	}
@@ -146,6 +169,7 @@
 	})
 	w.writeUntilAcknowledged(time.Now())
 	tr.stop()
+	tr.checkNotRun(t)
 	if tr.dropped.Load() > 0 || tr.unknown.Load() > 0 {
 		t.Errorf("%d requests were dropped and %d have an unknown outcome; the first failure: %s", tr.dropped.Load(), tr.unknown.Load(), *tr.firstFailure.Load())
 	}
