entry: a commit that begins the next block is not acknowledged unconfirmed

Cause: on the PostgreSQL side, an answer after which a block is open was passed on without the confirmation by a majority, also when its batch had committed a write (COMMIT; BEGIN). A failover could lose the acknowledged write.

Change: such a batch is answered with LW002 and the new block is rolled back, since databases report their position only outside of blocks.

Before: TestCommitThatBeginsTheNextBlockIsNotAcknowledgedUnconfirmed failed in both cases. After: it passes, with all tests of entry/internal/caller under the race detector.

--- a/entry/internal/caller/exchange.go
+++ b/entry/internal/caller/exchange.go
@@ -252,6 +252,11 @@
 // keepBlock keeps the transaction open and relays the answer.
 func (x *exchange) keepBlock() (bool, *outcome.Failure) {
 	c := x.caller
+	if x.committed && x.wrote {
+		// Databases report their position only outside of blocks, so the commit before the new block can't be confirmed.
+		x.release()
+		return x.endPartialAnswer(outcome.ForReason(outcome.ReasonNotConfirmed, nil))
+	}
 	if x.admitted.reads() {
 		if failure := x.checkTerm(); failure != nil {
 			x.release()
--- a/entry/internal/caller/protocol_test.go
+++ b/entry/internal/caller/protocol_test.go
@@ -8,6 +8,8 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgproto3"
+
+	"lentilwind.dev/bench/database"
 )
 
 // frontend sends raw protocol messages.
@@ -138,6 +140,26 @@
 	}
 }
 
+// Guards against an acknowledged commit that no majority holds, because the same batch begins the next block.
+func TestCommitThatBeginsTheNextBlockIsNotAcknowledgedUnconfirmed(t *testing.T) {
+	bind, execute, sync := &pgproto3.Bind{}, &pgproto3.Execute{}, &pgproto3.Sync{}
+	for name, batch := range map[string][]pgproto3.FrontendMessage{
+		"query":    {&pgproto3.Query{String: "COMMIT; BEGIN"}},
+		"pipeline": {parse("COMMIT"), bind, execute, parse("BEGIN"), bind, execute, sync},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, nil)
+			f.limits.ConfirmTimeout = time.Second
+			c := f.newEntry().newFrontend(t)
+			insert := &pgproto3.Query{String: "/*route='order'*/ INSERT INTO stock (key, value) VALUES ('a', 1)"}
+			c.expect("begin", c.exchange(0, &pgproto3.Query{String: "BEGIN"}), "BEGIN", "ready T")
+			c.expect("insert", c.exchange(0, insert), "INSERT 0 1", "ready T")
+			f.databases[0].SetFaults(func(faults *database.Faults) { faults.PauseReplication = true })
+			c.expect("commit", c.exchange(0, batch...), "LW002", "ready I")
+		})
+	}
+}
+
 func TestEveryQueryExecModeOfTheDriverWorks(t *testing.T) {
 	f := newFleet(t, nil)
 	e := f.newEntry()
