control: the list of control processes is written only for a new address

The former addresses are dropped when a new one is written.

Measured: TestEntriesFollowReplacedControlProcesses, TestSeedsWithoutDataFoldersAreFound, TestSparesFindTheMembersAfterAFullRestart and TestControlSurvivesLossOfLeadersAndDataFolders pass.

--- a/control/coordinator/peers.go
+++ b/control/coordinator/peers.go
@@ -32,12 +32,13 @@
 	c.savedPeers.Store(&addresses)
 }
 
-// saveKnownPeers writes the known addresses to the data folder if they have changed.
+// saveKnownPeers writes the known addresses to the data folder if there is a new one among them. The former ones are dropped only then, so a
+// process that is away for a moment costs no write to the disk of the journal.
 func (c *Coordinator) saveKnownPeers(addresses []string) {
 	c.savePeersMu.Lock()
 	defer c.savePeersMu.Unlock()
 	addresses = slices.Sorted(slices.Values(addresses))
-	if saved := c.savedPeers.Load(); saved != nil && slices.Equal(*saved, addresses) {
+	if saved := c.savedPeers.Load(); saved != nil && containsAll(*saved, addresses) {
 		return
 	}
 	c.savedPeers.Store(&addresses)
@@ -46,6 +47,10 @@
 	}
 }
 
+func containsAll(all, some []string) bool {
+	return !slices.ContainsFunc(some, func(address string) bool { return !slices.Contains(all, address) })
+}
+
 func writePeersFile(path string, addresses []string) error {
 	data, err := json.Marshal(addresses)
 	if err != nil {
