--- a/review/harness-3/client.go
+++ b/review/harness-3/client.go
@@ -23,14 +23,16 @@
 
 const done = "COMPLETE"
 
-func dialClient(ip, host string) (*client, error) {
+func dialClient(ip, host string) (*client, error) { return dialWithKey(ip, host, clientKey) }
+
+func dialWithKey(ip, host, key string) (*client, error) {
 	conn, err := net.DialTimeout("tcp", address(ip, callerPort), time.Second)
 	if err != nil {
 		return nil, err
 	}
 	c := &client{conn: conn, reader: bufio.NewReader(conn)}
 	_ = conn.SetDeadline(time.Now().Add(2 * time.Second))
-	fmt.Fprintf(conn, "START %s %s\r\n", host, clientKey)
+	fmt.Fprintf(conn, "START %s %s\r\n", host, key)
 	line, err := c.reader.ReadString('\n')
 	if err != nil || !strings.HasPrefix(line, "READY") {
 		conn.Close()
--- a/review/harness-3/database.go
+++ b/review/harness-3/database.go
@@ -39,6 +39,8 @@
 	leader    *database
 	term      uint64
 	lastFence uint64
+	// target is the database that the last accepted call named.
+	target *database
 	// acknowledged holds the ids of the writes whose commit a primary has acknowledged.
 	acknowledged map[string]bool
 }
@@ -146,6 +148,16 @@
 	})
 }
 
+// hear ends a deafness. It is called without the lock.
+func (r *database) hear() {
+	r.group.mu.Lock()
+	defer r.group.mu.Unlock()
+	r.deaf = false
+	if leader := r.group.leader; leader != nil && leader != r {
+		r.receive(leader)
+	}
+}
+
 // confirmed reports whether enough replicas have received a commit. It is called with the lock held.
 func (g *group) confirmed(from *database, number int) bool {
 	n := 0
@@ -172,10 +184,12 @@
 		if d == g.leader {
 			return http.StatusOK
 		}
+		g.target = d
 		time.AfterFunc(g.promoteTime, func() {
 			g.mu.Lock()
 			defer g.mu.Unlock()
-			if g.lastFence != fence || !d.running {
+			// A newer call may have named another database, or an earlier one for this database has taken effect.
+			if g.target != d || g.leader == d || !d.running {
 				return
 			}
 			g.takeOver(d)
--- a/review/harness-3/platform.go
+++ b/review/harness-3/platform.go
@@ -17,6 +17,10 @@
 	groups map[string]*group
 	// down means that calls get no answer and are not carried out.
 	down atomic.Bool
+	// delay is how long a slow platform takes to carry out a call and to answer it, in nanoseconds.
+	delay atomic.Int64
+	// ordered is called with each order as it arrives.
+	ordered func(id string)
 }
 
 func (p *platform) start(at string) error {
@@ -42,6 +46,13 @@
 		<-r.Context().Done()
 		return
 	}
+	if p.ordered != nil {
+		p.ordered(order.ID)
+	}
+	if delay := time.Duration(p.delay.Load()); delay > 0 {
+		p.record.note("POST /promote %s by %s with token %d arrives at the slow platform", order.ID, r.Header.Get("X-Duty-Holder"), fence)
+		time.Sleep(delay)
+	}
 	g := p.groups[order.Service]
 	status := http.StatusConflict
 	if g != nil {
