--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -16,11 +16,11 @@
 	cannotRun = 2
 )
 
-var scenarios = map[string]func(f *fleet, trouble bool) (int, error){"busy": runBusy, "drain": runDrain, "open": runOpen, "late": runLate}
+var scenarios = map[string]func(f *fleet, trouble bool) (int, error){"busy": runBusy, "drain": runDrain, "open": runOpen, "late": runLate, "tenants": runTenants}
 
 func main() {
 	if len(os.Args) != 3 || scenarios[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: harness-3 busy|drain|open|late RECORD")
+		fmt.Fprintln(os.Stderr, "usage: harness-3 busy|drain|open|late|tenants RECORD")
 		os.Exit(cannotRun)
 	}
 	code, err := play(os.Args[1], os.Args[2])
