--- a/review/harness-3/open.go
+++ b/review/harness-3/open.go
@@ -88,7 +88,7 @@
 						if err != nil {
 							break
 						}
-						time.Sleep(200 * time.Millisecond)
+						time.Sleep(50 * time.Millisecond)
 					}
 					c.close()
 				}
