control: a busy replica is not judged by its applied position

Cause: a replica whose slots are taken answers STATUS with BUSY. That answer carries the position that the replica has applied, which is only a lower bound of what it has received. Control compared it with the ends of other logs and promoted a replica with a shorter log.

Change: a position says whether it is a lower bound. Where replicas confirm commits, a busy replica is asked with a statement that takes no slot, and nobody is promoted over a log of unknown end. Without syncReplicas it is asked again for 0.1 s before the bound counts. Equal logs are ordered, so a second attempt names the same server. The event replicaPosition logs what a choice rests on.

--- a/control/coordinator/primaries.go
+++ b/control/coordinator/primaries.go
@@ -22,6 +22,9 @@
 	probeTimeout = 350 * time.Millisecond
 	// statusTimeout limits the query for a replica's position.
 	statusTimeout = 400 * time.Millisecond
+	// busyRetryTime is how long replicas are asked again that are too busy to report the end of their logs, with busyRetryInterval between.
+	busyRetryTime     = 100 * time.Millisecond
+	busyRetryInterval = 10 * time.Millisecond
 	// promoteTimeout limits one promotion request; a successful one is answered within about 10 ms.
 	promoteTimeout = 350 * time.Millisecond
 	// maxPromoteAttempts limits the attempts of a promotion request that gets no response.
@@ -291,51 +294,94 @@
 // chooseReplica queries the positions of all servers but one, the former primary, and returns the one whose log is the newest.
 //
 // With synchronous replication, an acknowledged commit may be on as few as syncReplicas replicas. So fewer replicas than that may
-// be silent: otherwise it is possible that no replica that answers has the commit.
+// be silent, and the end of each other log must be known: otherwise it is possible that the chosen replica lacks the commit.
 func (p *primaryMonitor) chooseReplica(servers []serverRecord, former group.Server, monitored *monitoredService, reason succession.Reason) (candidate, bool) {
 	syncReplicas := p.syncReplicas(servers)
+	retryUntil := p.c.cfg.Now().Add(busyRetryTime)
+	for {
+		asked := p.askReplicas(servers, former, monitored, reason, syncReplicas)
+		p.mu.Lock()
+		newest, ordered := monitored.newestTerm, monitored.ordered
+		p.mu.Unlock()
+		best, ok := succession.ChooseSuccessor(newest, ordered, asked.candidates)
+		uncertain := succession.MayBeNewer(best, asked.candidates)
+		if uncertain && p.c.cfg.Now().Before(retryUntil) {
+			time.Sleep(busyRetryInterval)
+			continue
+		}
+		ok = ok && (syncReplicas == 0 || asked.silent < syncReplicas && !uncertain)
+		p.logPositions(asked)
+		if !ok {
+			p.c.cfg.Log.Warn().Str("reason", string(reason)).Int("asked", len(asked.answers)).Int("silent", asked.silent).Int("confirmed", syncReplicas).
+				Bool("uncertain", uncertain).Uint64("term", uint64(newest)).Str("ordered", string(ordered.Server)).Uint64("after", uint64(ordered.After)).
+				Msg("noReplicaToPromote")
+		}
+		return asked.answers[best.Server], ok
+	}
+}
+
+// positions is what the servers of a service have answered when they were asked for the ends of their logs.
+type positions struct {
+	candidates []succession.Candidate
+	answers    map[group.Server]candidate
+	// silent is the number of servers that were not asked or have not answered.
+	silent int
+}
+
+// askReplicas asks all servers but the former primary for the ends of their logs.
+func (p *primaryMonitor) askReplicas(
+	servers []serverRecord, former group.Server, monitored *monitoredService, reason succession.Reason, syncReplicas int,
+) positions {
+	p.mu.Lock()
+	newest := monitored.newestTerm
+	p.mu.Unlock()
 	results := make(chan candidate, len(servers))
 	asked := 0
-	var candidates []succession.Candidate
-	silent := 0
+	found := positions{answers: make(map[group.Server]candidate, len(servers))}
 	evacuated := p.c.state.Load().Evacuated
 	for _, s := range servers {
 		if s.Name != former && evacuated.Contains(s.DataCentre) {
 			// Nothing is sent to an evacuated data centre, so its replicas count as silent.
-			candidates = append(candidates, succession.Candidate{Server: s.Name})
-			silent++
+			found.candidates = append(found.candidates, succession.Candidate{Server: s.Name})
+			found.silent++
 			continue
 		}
 		if s.Name == former && reason == succession.ReasonSilent {
-			candidates = append(candidates, succession.Candidate{Server: s.Name})
+			found.candidates = append(found.candidates, succession.Candidate{Server: s.Name})
 		}
 		if s.Name == former || s.Leaving && syncReplicas == 0 {
 			continue
 		}
 		asked++
-		go func() {
-			results <- candidate{s.Server, queryReplicaStatus(p.c.cfg.Connector, databaseTarget(s.Server), statusTimeout)}
-		}()
+		go func() { results <- candidate{s.Server, p.askReplica(s.Server, newest, syncReplicas)} }()
 	}
-	answers := make(map[group.Server]candidate, asked)
 	for range asked {
-		found := <-results
-		answers[found.server.Name] = found
-		candidates = append(candidates, succession.Candidate{Server: found.server.Name, Answered: found.Known, Received: found.Received})
-		if !found.Known {
-			silent++
+		answer := <-results
+		found.answers[answer.server.Name] = answer
+		found.candidates = append(found.candidates, succession.Candidate{
+			Server: answer.server.Name, Answered: answer.Known, Received: answer.Received, AtLeast: answer.AtLeast,
+		})
+		if !answer.Known {
+			found.silent++
 		}
 	}
-	p.mu.Lock()
-	newest, ordered := monitored.newestTerm, monitored.ordered
-	p.mu.Unlock()
-	best, ok := succession.ChooseSuccessor(newest, ordered, candidates)
-	ok = ok && (syncReplicas == 0 || silent < syncReplicas)
-	if !ok {
-		p.c.cfg.Log.Warn().Str("reason", string(reason)).Int("asked", asked).Int("silent", silent).Int("confirmed", syncReplicas).
-			Uint64("term", uint64(newest)).Str("ordered", string(ordered.Server)).Uint64("after", uint64(ordered.After)).Msg("noReplicaToPromote")
+	return found
+}
+
+// askReplica asks a replica for the end of its log, which must be known where replicas confirm commits.
+func (p *primaryMonitor) askReplica(s fleet.Server, newest group.Term, syncReplicas int) replicaStatus {
+	if syncReplicas == 0 {
+		return queryReplicaStatus(p.c.cfg.Connector, databaseTarget(s), statusTimeout)
+	}
+	return queryExactStatus(p.c.cfg.Connector, databaseTarget(s), statusTimeout, newest)
+}
+
+// logPositions logs on what a choice rests.
+func (p *primaryMonitor) logPositions(asked positions) {
+	for _, a := range asked.answers {
+		p.c.cfg.Log.Info().Str("server", string(a.server.Name)).Bool("answered", a.Known).Bool("atLeast", a.AtLeast).
+			Uint64("term", uint64(a.Received.Term)).Uint64("position", uint64(a.Received.Position)).Msg("replicaPosition")
 	}
-	return answers[best.Server], ok
 }
 
 // syncReplicas returns how many replicas must hold a commit of the service before it is acknowledged.
--- a/control/coordinator/probe.go
+++ b/control/coordinator/probe.go
@@ -110,22 +110,42 @@
 type replicaStatus struct {
 	Known    bool
 	Received group.Floor
+	// AtLeast means that the replica did not report the end of its log, and that Received is only a lower bound of it.
+	AtLeast bool
 	// Leads means that the database considers itself the primary.
 	Leads bool
 }
 
-// queryReplicaStatus asks a database for its status over a new connection.
+// queryReplicaStatus asks a database for its status over a new connection. A database whose slots are all taken may answer without one.
 func queryReplicaStatus(connector database.Connector, target database.Target, timeout time.Duration) replicaStatus {
 	answer, err := queryOnce(connector, target, timeout, statement.Statement{ID: statement.ProxyID, Verb: statement.Status})
-	switch {
-	case err != nil:
+	if err != nil {
 		return replicaStatus{}
-	case answer.Report == nil:
-		// What has been applied has also been received.
-		return replicaStatus{Known: true, Received: answer.Position}
-	default:
-		return replicaStatus{Known: true, Received: answer.Report.Received, Leads: answer.Report.Primary}
 	}
+	return newReplicaStatus(answer)
+}
+
+// newReplicaStatus returns what an answer tells of a replica. Without a report, only the position that the replica has applied is known, and
+// it may have received far more.
+func newReplicaStatus(answer statement.Answer) replicaStatus {
+	if answer.Report == nil {
+		return replicaStatus{Known: true, Received: answer.Position, AtLeast: true}
+	}
+	return replicaStatus{Known: true, Received: answer.Report.Received, Leads: answer.Report.Primary}
+}
+
+// queryExactStatus is like queryReplicaStatus, but asks a busy database for the end of its log with a statement that takes no slot: a
+// DEMOTE, which changes nothing at a replica, and which does not stop a primary of the newest term.
+func queryExactStatus(connector database.Connector, target database.Target, timeout time.Duration, newest group.Term) replicaStatus {
+	status := queryReplicaStatus(connector, target, timeout)
+	if !status.Known || !status.AtLeast {
+		return status
+	}
+	answer, err := queryOnce(connector, target, timeout, statement.Statement{ID: statement.ProxyID, Verb: statement.Demote, Term: newest})
+	if err != nil || answer.Report == nil {
+		return status
+	}
+	return newReplicaStatus(answer)
 }
 
 // queryOnce sends one statement over a new connection.
--- a/lentilwind/succession/successor_test.go
+++ b/lentilwind/succession/successor_test.go
@@ -13,6 +13,12 @@
 
 func silent(server group.Server) succession.Candidate { return succession.Candidate{Server: server} }
 
+func busy(server group.Server, term group.Term, position group.Position) succession.Candidate {
+	c := candidate(server, term, position)
+	c.AtLeast = true
+	return c
+}
+
 func TestChooseSuccessor(t *testing.T) {
 	for name, test := range map[string]struct {
 		newest     group.Term
@@ -32,6 +38,11 @@
 		"the ordered server is gone for good":                {1, succession.Order{Server: "b", After: 1}, []succession.Candidate{candidate("a", 1, 9), silent("c")}, "a"},
 		"another log has the term of the order":              {1, succession.Order{Server: "b", After: 1}, []succession.Candidate{candidate("a", 2, 3), silent("b")}, "a"},
 		"a designated server was not ordered to lead":        {0, succession.Order{Server: "b"}, []succession.Candidate{candidate("a", 0, 0), silent("b")}, "a"},
+		"a lower bound above every other log":                {2, succession.Order{}, []succession.Candidate{candidate("a", 2, 9), busy("b", 2, 9)}, "b"},
+		"the newest term may be behind a lower bound":        {2, succession.Order{}, []succession.Candidate{candidate("a", 1, 9), busy("b", 1, 7)}, ""},
+		"the ordered server reports only a lower bound":      {1, succession.Order{Server: "b", After: 1}, []succession.Candidate{candidate("a", 1, 9), busy("b", 1, 7)}, ""},
+		"of equal logs the ordered server's":                 {1, succession.Order{Server: "b", After: 1}, []succession.Candidate{candidate("a", 1, 9), candidate("b", 1, 9)}, "b"},
+		"of equal logs the first by name":                    {1, succession.Order{}, []succession.Candidate{candidate("b", 1, 9), candidate("a", 1, 9)}, "a"},
 		"no primary was seen":                                {0, succession.Order{}, []succession.Candidate{candidate("a", 1, 5), silent("b")}, "a"},
 	} {
 		best, found := succession.ChooseSuccessor(test.newest, test.ordered, test.candidates)
@@ -40,3 +51,21 @@
 		}
 	}
 }
+
+// Guards against a choice that takes the lower bound of a log for its end.
+func TestMayBeNewer(t *testing.T) {
+	a, b := candidate("a", 1, 9), busy("b", 1, 7)
+	for name, test := range map[string]struct {
+		chosen     succession.Candidate
+		candidates []succession.Candidate
+		want       bool
+	}{
+		"all ends are known":           {a, []succession.Candidate{a, candidate("b", 1, 7), silent("c")}, false},
+		"another log has no known end": {a, []succession.Candidate{a, b}, true},
+		"only the chosen log has none": {b, []succession.Candidate{b, candidate("a", 1, 7)}, false},
+	} {
+		if got := succession.MayBeNewer(test.chosen, test.candidates); got != test.want {
+			t.Errorf("%s: got %t", name, got)
+		}
+	}
+}
