control: no commit is acknowledged behind an outstanding order

Cause: a choice rests on the ends of the logs at one moment, and its order may be carried out seconds later. Until then the former primary could have commits confirmed by another replica.

TestReplicasReceiveAgainAfterARefusedOrder and TestNewLeaderLetsSuspendedReplicasReceive guard the new behaviour.

Change, with syncReplicas: before the order the other replicas stop receiving, so each commit needs the chosen one; if they can't be stopped, a leaving primary is stopped first. While an order may still be carried out, no other server is ordered, also by a new leader. Replicas receive again when the order is over. DEMOTE takes its term from the newest one seen instead of the successor's log.

--- a/control/coordinator/group_test.go
+++ b/control/coordinator/group_test.go
@@ -44,7 +44,9 @@
 	// the platform refuse all orders. orders counts those that were received.
 	orderDelay time.Duration
 	refuse     bool
-	orders     int
+	orders     []group.Server
+	// noSuspend makes the databases refuse SUSPEND and RESUME as unknown.
+	noSuspend bool
 }
 
 // memoryDatabase is one database of a group; it is protected by the lock of the group.
@@ -107,7 +109,7 @@
 func (g *databaseGroup) Promote(ctx context.Context, order coordinator.PromotionOrder) error {
 	g.mu.Lock()
 	delay := g.orderDelay
-	g.orders++
+	g.orders = append(g.orders, order.Server)
 	refuse := g.refuse
 	g.mu.Unlock()
 	if refuse {
@@ -224,6 +226,18 @@
 		if g.leader == d.name && d.term < st.Term {
 			g.leader = ""
 		}
+	case statement.Suspend:
+		if g.noSuspend {
+			return statement.Answer{Outcome: statement.Malformed}
+		}
+		if g.leader != d.name && st.Term > d.term {
+			d.suspended = max(d.suspended, st.Term)
+		}
+	case statement.Resume:
+		if g.noSuspend {
+			return statement.Answer{Outcome: statement.Malformed}
+		}
+		d.suspended = 0
 	default:
 		return statement.Answer{Outcome: statement.Malformed}
 	}
@@ -330,8 +344,66 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if len(g.lost) > 0 {
-		t.Errorf("promoted %v; acknowledged commits that they lacked: %v", g.promotions, g.lost)
+		t.Errorf("promoted %v; they lacked %d acknowledged commits, first %v", g.promotions, len(g.lost), g.lost[:min(len(g.lost), 3)])
+	}
+}
+
+// awaitOrder waits until the platform has received an order, and returns its server.
+func (g *databaseGroup) awaitOrder(t *testing.T) (server group.Server) {
+	t.Helper()
+	eventually(t, "a promotion is ordered", func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if len(g.orders) == 0 {
+			return false
+		}
+		server = g.orders[0]
+		return true
+	})
+	return server
+}
+
+// startCommitting writes to the primary until the test or the returned function ends it.
+func (g *databaseGroup) startCommitting(t *testing.T) (stop func()) {
+	done := make(chan struct{})
+	var running sync.WaitGroup
+	running.Go(func() {
+		for n := 0; ; n++ {
+			g.commit(fmt.Sprintf("c%d", n))
+			select {
+			case <-done:
+				return
+			case <-time.After(2 * time.Millisecond):
+			}
+		}
+	})
+	stop = sync.OnceFunc(func() { close(done); running.Wait() })
+	t.Cleanup(stop)
+	return stop
+}
+
+// acknowledgedWithin returns how many commits are acknowledged within a time.
+func (g *databaseGroup) acknowledgedWithin(d time.Duration) int {
+	count := func() int {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return len(g.acknowledged)
+	}
+	before := count()
+	time.Sleep(d)
+	return count() - before
+}
+
+// anySuspended reports whether a database has been stopped from receiving.
+func (g *databaseGroup) anySuspended() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, d := range g.databases {
+		if d.suspended > 0 {
+			return true
+		}
 	}
+	return false
 }
 
 // mustCommit writes to the primary and fails the test if the write is not acknowledged.
--- a/control/coordinator/primaries.go
+++ b/control/coordinator/primaries.go
@@ -68,6 +68,12 @@
 	// outstanding is a server whose last order got no answer, so that the order may be carried out until outstandingUntil.
 	outstanding      group.Server
 	outstandingUntil time.Time
+	// receiving holds the servers that are known to receive: neither this leader nor a former one has stopped them. It is nil until the
+	// service is first looked at.
+	receiving map[group.Server]bool
+	// resuming is true while servers are told to receive again, and lastResume is when that last began.
+	resuming   bool
+	lastResume time.Time
 }
 
 func newPrimaryMonitor(c *Coordinator, r *roster) *primaryMonitor {
@@ -98,8 +104,9 @@
 			monitored.succession.HandleEntryReport(now, s.Server, s.SinceAnswer, s.FailingFor, s.age)
 		}
 		p.probeIfDue(ctx, now, monitored, servers)
+		p.resumeIfDue(now, name, monitored, servers)
 		reason, needed := monitored.succession.Decide(now)
-		start := needed && !monitored.promoting && now.Sub(monitored.lastPromotion) >= promotionCooldown
+		start := needed && !monitored.promoting && !monitored.resuming && now.Sub(monitored.lastPromotion) >= promotionCooldown
 		if start {
 			monitored.promoting = true
 		}
@@ -197,7 +204,13 @@
 	p.mu.Lock()
 	replaced := monitored.succession.Primary()
 	p.mu.Unlock()
-	best, found := p.chooseReplica(servers, replaced, monitored, reason)
+	var best candidate
+	var found, stopped bool
+	if p.syncReplicas(servers) > 0 {
+		best, stopped, found = p.chooseFenced(servers, replaced, monitored, reason)
+	} else {
+		best, found = p.chooseReplica(servers, replaced, monitored, reason)
+	}
 	if !found {
 		return
 	}
@@ -206,8 +219,8 @@
 	if err != nil && !errors.Is(err, ErrNoResponse) {
 		return
 	}
-	if reason == succession.ReasonLeaving && err == nil {
-		p.demotePrimary(servers, replaced, best.Received)
+	if reason == succession.ReasonLeaving && err == nil && !stopped {
+		p.demotePrimary(servers, replaced, p.newOrder(best, monitored).After+1)
 	}
 	after := best.Received.Term
 	if best.Leads {
@@ -215,17 +228,20 @@
 		after = 0
 	}
 	leads := p.awaitTakeover(ctx, name, best.server, after, monitored)
+	if leads {
+		p.noteAnswer(monitored, best.server.Name, nil)
+	}
 	p.c.cfg.Log.Info().Str("service", string(name)).Str("server", string(best.server.Name)).Bool("leads", leads).
 		Int64("tookMs", p.c.cfg.Now().Sub(start).Milliseconds()).Msg("promotionEnded")
 }
 
 // demotePrimary stops writes on a leaving primary, so that its successor receives all of them before it takes over.
-func (p *primaryMonitor) demotePrimary(servers []serverRecord, replaced group.Server, position group.Floor) {
+func (p *primaryMonitor) demotePrimary(servers []serverRecord, replaced group.Server, term group.Term) {
 	for _, s := range servers {
 		if s.Name != replaced || p.c.evacuationUse(s.DataCentre) == evacuation.Withdrawn {
 			continue
 		}
-		st := statement.Statement{ID: statement.ProxyID, Verb: statement.Demote, Term: position.Term + 1}
+		st := statement.Statement{ID: statement.ProxyID, Verb: statement.Demote, Term: term}
 		answer, err := queryOnce(p.c.cfg.Connector, databaseTarget(s.Server), statusTimeout, st)
 		p.c.cfg.Log.Info().Err(err).Str("server", string(s.Name)).Str("outcome", string(answer.Outcome)).
 			Uint64("term", uint64(st.Term)).Msg("primaryDemoted")
@@ -247,6 +263,7 @@
 		if errors.Is(err, ErrFenced) && attempt == 0 {
 			p.setOrdered(monitored, before)
 		}
+		p.noteAnswer(monitored, order.Server, err)
 		if !errors.Is(err, ErrNoResponse) || ctx.Err() != nil {
 			return err
 		}
@@ -254,6 +271,19 @@
 	return err
 }
 
+// noteAnswer records whether an order may still be carried out. An accepted one has a higher token than all earlier ones, so that those are
+// refused.
+func (p *primaryMonitor) noteAnswer(monitored *monitoredService, server group.Server, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case err == nil:
+		monitored.outstanding = ""
+	case errors.Is(err, ErrNoResponse):
+		monitored.outstanding, monitored.outstandingUntil = server, p.c.cfg.Now().Add(lateOrderBound)
+	}
+}
+
 // newOrder returns the order to promote a candidate.
 func (p *primaryMonitor) newOrder(best candidate, monitored *monitoredService) succession.Order {
 	p.mu.Lock()
--- a/lentilwind/statement/statement.go
+++ b/lentilwind/statement/statement.go
@@ -30,6 +30,8 @@
 	Demote Verb = "demote"
 	// Suspend makes a replica stop receiving records.
 	Suspend Verb = "suspend"
+	// Resume ends a Suspend.
+	Resume Verb = "resume"
 )
 
 // Statement is one request of a caller or of the proxy.
