entry: no key is accepted without a lease, on open routes either

Cause: open routes were served before the lease on the configuration was looked at, although that a route is open is part of the configuration.

Evidence: TestKeyIsNotAcceptedOnAnOpenRouteWithoutALease failed before the change: a read, a commit and a new session with a key were accepted without a lease. The same cause stood on the PostgreSQL side.

Change: without a lease, callers with a key are refused on every route that the operators did not mark to go on; callers without a key are served on open routes as before. TestWithoutALeaseOnlyOpenRoutesAreServed asserted that a caller with a key is served on an open route, which contradicts docs/operators/keys.md. It is replaced by a stricter one, which failed before the change.

--- a/entry/internal/caller/admit.go
+++ b/entry/internal/caller/admit.go
@@ -32,9 +32,10 @@
 
 func (t *admittedTx) reads() bool { return t.rule.Access == inventory.AccessRead }
 
-// servesWithoutLease reports whether a route is served by an entry that has no valid configuration lease.
-func servesWithoutLease(rule *inventory.Route) bool {
-	return rule.OpenToAll || rule.CutOff == inventory.CutOffServe
+// servesWithoutLease reports whether a route is served to this caller by an entry that has no valid configuration lease. The key of a caller
+// may have been withdrawn, and the route closed, without the entry knowing.
+func (c *callerConn) servesWithoutLease(rule *inventory.Route) bool {
+	return rule.OpenToAll && !c.hasKey || rule.CutOff == inventory.CutOffServe
 }
 
 // admit checks that the route may run the request, fills t, and charges the request to the quota of the workspace.
@@ -56,7 +57,7 @@
 	if !c.hasKey && !rule.OpenToAll {
 		return outcome.ForReason(outcome.ReasonRouteClosed, nil)
 	}
-	if !servesWithoutLease(rule) && !c.server.cfg.Directory.Leased(now) {
+	if !c.servesWithoutLease(rule) && !c.server.cfg.Directory.Leased(now) {
 		return outcome.ForReason(outcome.ReasonNoLease, nil)
 	}
 	t.rule = rule
--- a/entry/internal/caller/refusal_test.go
+++ b/entry/internal/caller/refusal_test.go
@@ -142,6 +142,8 @@
 	}
 }
 
+// Guards against requests with a key that may have been withdrawn, on any route that the operators did not mark to go on, and against open
+// routes that stop for callers without a key.
 func TestWithoutALeaseOnlyOpenRoutesAreServed(t *testing.T) {
 	f := newFleet(t, nil)
 	f.directory = directory.New()
@@ -149,16 +151,26 @@
 	f.applyInventory()
 	f.publishTopology(1, serverName(0), serverName(1), serverName(2))
 	e := f.newEntry()
-	conn := e.connect(t, "")
+	conn, inBlock, public := e.connect(t, ""), e.connect(t, ""), e.connectAs(t, "public", "", "")
 	ctx := testContext(t)
+	if _, err := inBlock.Exec(ctx, "/*route='shelf'*/ BEGIN"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := inBlock.Exec(ctx, "SELECT 1"); err != nil {
+		t.Fatal(err)
+	}
 	f.waitFor(ctx, func() bool { return !f.directory.Leased(time.Now()) })
 	_, err := conn.Exec(ctx, insertOrder, "a", 1)
 	wantSQLState(t, err, "LW001")
+	_, err = conn.Exec(ctx, "/*route='shelf'*/ SELECT 2")
+	wantSQLState(t, err, "LW001")
+	_, err = inBlock.Exec(ctx, "SELECT 2")
+	wantSQLState(t, err, "LW001")
 	var one int
-	if err := conn.QueryRow(ctx, "/*route='shelf'*/ SELECT 1").Scan(&one); err != nil {
-		t.Errorf("open route: %v", err)
+	if err := public.QueryRow(ctx, "/*route='shelf'*/ SELECT 1").Scan(&one); err != nil {
+		t.Errorf("open route without a key: %v", err)
 	}
-	if f.countStatements("INSERT") != 0 {
+	if f.countStatements("INSERT")+f.countStatements("SELECT 2") != 0 {
 		t.Error("a refused statement reached a database")
 	}
 }
--- a/entry/internal/caller/run.go
+++ b/entry/internal/caller/run.go
@@ -127,7 +127,7 @@
 // continueBlock runs the next batch of an open block.
 func (c *callerConn) continueBlock() bool {
 	b := c.block
-	if !servesWithoutLease(b.admitted.rule) && !c.server.cfg.Directory.Leased(time.Now()) {
+	if !c.servesWithoutLease(b.admitted.rule) && !c.server.cfg.Directory.Leased(time.Now()) {
 		return c.refuse(outcome.ForReason(outcome.ReasonNoLease, nil))
 	}
 	c.setRunningTx(b.tx)
--- a/entry/proxy/proxy_test.go
+++ b/entry/proxy/proxy_test.go
@@ -182,6 +182,38 @@
 	}
 }
 
+// Guards against requests with a withdrawn key on a route that was closed, at an entry that has lost control before it could learn of either.
+func TestKeyIsNotAcceptedOnAnOpenRouteWithoutALease(t *testing.T) {
+	const lease = 300 * time.Millisecond
+	d := newDatabases("a")
+	e := &entry{newUnconfigured(d), t}
+	e.SetPolicy(testPolicy(t, 1, "key"))
+	e.SetRoster(newRoster(d))
+	e.ExtendLease(time.Now().Add(lease))
+	single, _ := e.open("shelves", "key")
+	if a := single.execute("0", statement.Read, "READ x"); a.Outcome != statement.Done {
+		t.Fatalf("with a lease a read was answered with %q: %s", a.Outcome, a.Detail)
+	}
+	transaction := e.openTransaction("shelves", "key")
+	time.Sleep(lease)
+	if a := single.execute("1", statement.Read, "READ x"); a.Outcome != statement.Busy {
+		t.Errorf("without a lease a read with a key was answered with %q", a.Outcome)
+	}
+	if a := transaction.execute("1", statement.Commit, "COMMIT"); a.Outcome != statement.Aborted {
+		t.Errorf("without a lease a commit with a key was answered with %q", a.Outcome)
+	}
+	if _, a := e.open("shelves", "key"); a.Outcome != statement.Busy {
+		t.Errorf("without a lease a session with a key was answered with %q", a.Outcome)
+	}
+	if n := d.runCount("1"); n != 0 {
+		t.Errorf("%d statements with a key ran without a lease", n)
+	}
+	open, _ := e.open("shelves", "")
+	if a := open.execute("2", statement.Read, "READ x"); a.Outcome != statement.Done {
+		t.Errorf("without a lease a read without a key was answered with %q: %s", a.Outcome, a.Detail)
+	}
+}
+
 // Guards against statements of open transactions at an entry that cannot know whether their key was withdrawn.
 func TestLostLeaseEndsOpenTransactions(t *testing.T) {
 	const lease = 300 * time.Millisecond
--- a/entry/proxy/session.go
+++ b/entry/proxy/session.go
@@ -153,14 +153,17 @@
 }
 
 // checkKey returns the workspace that holds the session's key, or nil on a route that needs no key.
+//
+// Without a lease no key is accepted, not even on a route that needs none: the key may have been withdrawn, and the route closed, without this
+// entry knowing. Callers without a key have none that could be withdrawn.
 func (s *session) checkKey(current *policy.Policy, route *policy.Route) (*policy.Workspace, statement.Answer, bool) {
 	workspace := current.WorkspacesByKey[s.key]
 	switch {
-	case route.AllowAnonymous:
-		return workspace, statement.Answer{}, true
+	case route.AllowAnonymous && s.key == "":
+		return nil, statement.Answer{}, true
 	case !s.proxy.hasLease():
 		return nil, statement.FailureAnswer(statement.Busy, "cut off from control; keys cannot be checked", statement.Idle), false
-	case workspace == nil:
+	case workspace == nil && !route.AllowAnonymous:
 		return nil, statement.FailureAnswer(statement.BadKey, "the key belongs to no workspace", statement.Idle), false
 	}
 	return workspace, statement.Answer{}, true
