entry, control: the drain time of a database begins with its announcement

Cause: entries counted from when they heard that a database leaves. The roster did not say since when.

Change: the leader sends entries how long a database has been leaving, and they count back from the sending of their request. A leader that took over does not know and says so; an entry that had not heard of the leaving before then sends no new work. That a database leaves is stored before it is acknowledged. TestLeavingPrimaryGetsNoNewWorkAfterItsDrainTime now states when the leaving began; its checks are the same.

--- a/control/coordinator/group_test.go
+++ b/control/coordinator/group_test.go
@@ -63,6 +63,8 @@
 	unapplied int
 	// busy databases answer STATUS without a report; stuck ones do so to all statements that take no part in a transaction.
 	busy, stuck bool
+	// acknowledged is set when control has acknowledged that the database leaves.
+	acknowledged bool
 	// probes counts the transactions that control began to learn whether the database leads.
 	probes int
 }
@@ -267,7 +269,10 @@
 		}
 		g.mu.Unlock()
 		for _, s := range servers {
-			_ = c.Announce(ctx, s) // A lost announcement is followed by the next one.
+			if c.Announce(ctx, s) != nil || !s.Leaving {
+				continue // A lost announcement is followed by the next one.
+			}
+			g.update(s.Name, func(d *memoryDatabase) { d.acknowledged = true })
 		}
 		select {
 		case <-ctx.Done():
@@ -280,13 +285,27 @@
 // startControl runs a control process for the group, whose service has one synchronous replica, until the test ends.
 func startControl(t *testing.T, g *databaseGroup, dir string) (stop func()) {
 	t.Helper()
+	stop, _ = startServingControl(t, g, dir)
+	return stop
+}
+
+// startServingControl also returns the address on which the control process serves entries.
+func startServingControl(t *testing.T, g *databaseGroup, dir string) (stop func(), address string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
 	c := coordinator.New(coordinator.Config{
 		Instance: "control", Address: "127.0.0.1:9", Seeds: []string{"127.0.0.1:9"}, RereadSeeds: func() []string { return nil }, FirstStart: true,
 		DataFolder: dir, Lease: time.Second, AnnounceInterval: announceInterval, DecodePolicy: decodePolicy, Connector: g, Promoter: g,
 		Client: peer.NewClient("control"), Log: logs.Discard(), Now: time.Now,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
+	server := peer.NewServer("control", logs.Discard())
+	c.RegisterHandlers(server)
 	var running sync.WaitGroup
+	running.Go(func() { _ = server.Serve(ctx, listener) }) // Ends with the context.
 	running.Go(func() {
 		if err := c.Run(ctx); err != nil && !errors.Is(err, context.Canceled) && !errors.Is(err, net.ErrClosed) {
 			t.Error(err)
@@ -297,7 +316,7 @@
 	t.Cleanup(stop)
 	eventually(t, "the configuration is accepted", func() bool { return c.Apply(ctx, 7, []byte("{}")) == nil })
 	g.awaitProbes(t)
-	return stop
+	return stop, listener.Addr().String()
 }
 
 func decodePolicy(d fleet.Document) (*policy.Policy, error) {
--- a/control/coordinator/leadership.go
+++ b/control/coordinator/leadership.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"context"
+	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -389,23 +391,52 @@
 	}
 }
 
-// announceServer records an announcement of a database; it returns false if this process does not lead.
-func (l *leaderState) announceServer(s fleet.Server) bool {
+// announceServer records an announcement of a database; it returns errNotLeading if this process does not lead.
+//
+// That a database leaves is stored before it is acknowledged: its drain time begins then, and a next leader that did not know would let it
+// begin anew.
+func (l *leaderState) announceServer(ctx context.Context, s fleet.Server) error {
 	now, leads := l.lockIfLeading()
 	if !leads {
-		return false
+		return errNotLeading
 	}
-	defer l.mu.Unlock()
+	result, roster := l.roster.announce(now, s), l.roster
+	if result == announcementChanged {
+		l.changed.notify()
+	}
+	l.mu.Unlock()
+	l.logAnnouncement(s, result)
+	if result == announcementHeld || !s.Leaving {
+		return nil
+	}
+	leaving, found := roster.unrecordedLeaving(s.Name, l.c.state.Load().Servers)
+	if !found {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, recordLeavingTimeout)
+	defer cancel()
+	if _, err := l.c.propose(ctx, command{Servers: []fleet.Server{leaving}}); err != nil {
+		l.c.cfg.Log.Warn().Err(err).Msg("rosterNotRecorded")
+		return fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	return nil
+}
+
+// recordLeavingTimeout limits the time in which it is stored that a database leaves. Databases wait a second for the acknowledgement.
+const recordLeavingTimeout = 700 * time.Millisecond
+
+// errNotLeading means that this process is not the leader.
+var errNotLeading = errors.New("coordinator: this process does not lead")
+
+func (l *leaderState) logAnnouncement(s fleet.Server, result announcementResult) {
 	event := "serverAnnounced"
-	switch l.roster.announce(now, s) {
+	switch result {
 	case announcementUnchanged:
-		return true
-	case announcementChanged:
-		l.changed.notify()
+		return
 	case announcementHeld:
 		event = "announcementHeld"
+	case announcementChanged:
 	}
 	l.c.cfg.Log.Info().Str("server", string(s.Name)).Str("service", string(s.Service)).Str("address", s.Address).Bool("primary", s.Primary).
 		Bool("leaving", s.Leaving).Bool("gone", s.Gone).Int64("incarnation", s.Incarnation).Uint64("sequence", s.Sequence).Msg(event)
-	return true
 }
--- a/control/coordinator/roster.go
+++ b/control/coordinator/roster.go
@@ -27,6 +27,8 @@
 type serverRecord struct {
 	fleet.Server
 	lastAnnounced time.Time
+	// leavingSince is when this leader heard that the database leaves; zero if it is not leaving, or if a former leader heard of it.
+	leavingSince time.Time
 }
 
 // roster holds the databases that have announced themselves to one leader.
@@ -102,6 +104,22 @@
 	return changed
 }
 
+// unrecordedLeaving returns a database that leaves as it is to be recorded, and false if that was recorded before.
+func (r *roster) unrecordedLeaving(name group.Server, recorded map[group.Server]fleet.Server) (fleet.Server, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s, found := r.servers[name]
+	if !found || !s.Leaving || s.Gone {
+		return fleet.Server{}, false
+	}
+	old, found := recorded[name]
+	if found && old.Leaving && old.Incarnation == s.Incarnation {
+		return fleet.Server{}, false
+	}
+	s.Sequence = 0
+	return s.Server, true
+}
+
 // claimant identifies the writer of an announcement that contradicts a recorded one.
 type claimant struct {
 	name        group.Server
@@ -153,7 +171,14 @@
 		// The role in the announcement may be older than the promotion.
 		s.Primary = old.Primary
 	}
-	r.servers[s.Name] = serverRecord{Server: s, lastAnnounced: now}
+	record := serverRecord{Server: s, lastAnnounced: now}
+	switch {
+	case s.Leaving && found && old.Leaving && old.Incarnation == s.Incarnation:
+		record.leavingSince = old.leavingSince
+	case s.Leaving:
+		record.leavingSince = now
+	}
+	r.servers[s.Name] = record
 	before := old.Server
 	before.Sequence = s.Sequence
 	if found && before == s {
@@ -259,9 +284,13 @@
 	defer r.mu.Unlock()
 	out := fleet.Roster{Version: version, Partial: !settled, Entries: entries}
 	for _, s := range r.servers {
-		if !s.Gone {
-			out.Servers = append(out.Servers, s.Server)
+		if s.Gone {
+			continue
+		}
+		if s.Leaving && !s.leavingSince.IsZero() {
+			s.LeavingFor = max(1, now.Sub(s.leavingSince))
 		}
+		out.Servers = append(out.Servers, s.Server)
 	}
 	slices.SortFunc(out.Servers, func(a, b fleet.Server) int { return cmp.Compare(a.Name, b.Name) })
 	return out
--- a/control/coordinator/service.go
+++ b/control/coordinator/service.go
@@ -26,14 +26,15 @@
 	server.Handle(fleet.KindRenew, peer.TypedHandler(c.leader.handleRenew))
 	server.Handle(fleet.KindRegister, peer.TypedHandler(c.handleRegister))
 	server.Handle(fleet.KindControls, peer.TypedHandler(c.handleControls))
-	server.Handle(fleet.KindAnnounce, peer.TypedHandler(func(_ context.Context, _ inventory.InstanceName, s fleet.Server) (fleet.Empty, error) {
+	server.Handle(fleet.KindAnnounce, peer.TypedHandler(func(ctx context.Context, _ inventory.InstanceName, s fleet.Server) (fleet.Empty, error) {
 		if err := s.Check(); err != nil {
 			return fleet.Empty{}, &protocol.Refusal{Code: protocol.CodeInvalid, Message: err.Error()}
 		}
-		if !c.leader.announceServer(s) {
+		err := c.leader.announceServer(ctx, s)
+		if errors.Is(err, errNotLeading) {
 			return fleet.Empty{}, c.notLeaderRefusal()
 		}
-		return fleet.Empty{}, nil
+		return fleet.Empty{}, err
 	}))
 	server.Handle(fleet.KindPropose, peer.TypedHandler(func(ctx context.Context, _ inventory.InstanceName, d fleet.Document) (fleet.Empty, error) {
 		return fleet.Empty{}, c.acceptDocument(ctx, d)
@@ -66,8 +67,8 @@
 	if err := s.Check(); err != nil {
 		return err
 	}
-	if c.leader.announceServer(s) {
-		return nil
+	if err := c.leader.announceServer(ctx, s); !errors.Is(err, errNotLeading) {
+		return err
 	}
 	return c.forwardToLeader(ctx, fleet.KindAnnounce, s, &fleet.Empty{})
 }
--- a/entry/proxy/drain.go
+++ b/entry/proxy/drain.go
@@ -14,8 +14,7 @@
 // errDrained means that a server has been leaving for so long that it gets no new work.
 var errDrained = fmt.Errorf("proxy: the database is leaving and no other has replaced it; retry after %d ms", drainedRetryAfter.Milliseconds())
 
-// drained reports whether the server has been leaving for longer than it may get new work. A server that was leaving when this entry learned
-// of it may have been leaving for any time.
+// drained reports whether the server has been leaving for longer than it may get new work. If nobody knows since when, that may be any time.
 func (p *pool) drained(now time.Time, limit time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/entry/proxy/drain_test.go
+++ b/entry/proxy/drain_test.go
@@ -25,11 +25,13 @@
 	return &entry{p, t}
 }
 
-// leavingRoster returns a roster in which the primary leaves.
-func leavingRoster(d *databases) fleet.Roster {
+// leavingRoster returns a roster in which the primary has been leaving since the given time, or for an unknown time if that is zero.
+func leavingRoster(d *databases, since time.Time) fleet.Roster {
 	roster := newRoster(d)
 	for i, s := range roster.Servers {
-		roster.Servers[i].Leaving = s.Primary
+		if s.Primary {
+			roster.Servers[i].Leaving, roster.Servers[i].LeavingSince = true, since
+		}
 	}
 	return roster
 }
@@ -69,14 +71,14 @@
 	e := newDrainingEntry(t, d, newRoster(d))
 	c, _ := e.open("orders", "key")
 	open, _ := e.open("orders", "key")
-	e.SetRoster(leavingRoster(d))
-	learned := time.Now()
+	began := time.Now()
+	e.SetRoster(leavingRoster(d, began))
 	if a := c.execute("w1", statement.Write, "WRITE x 1"); a.Outcome != statement.Done {
 		t.Errorf("within the drain time a write was answered with %q: %s", a.Outcome, a.Detail)
 	}
 	open.execute("b1", statement.Begin, "BEGIN")
 	open.execute("w2", statement.Write, "WRITE x 2")
-	time.Sleep(time.Until(learned.Add(testDrainTime)))
+	time.Sleep(time.Until(began.Add(testDrainTime)))
 	checkRefusedAtOnce(t, d, c)
 	if a := open.execute("c1", statement.Commit, "COMMIT"); a.Outcome != statement.Done {
 		t.Errorf("the commit of an open transaction was answered with %q: %s", a.Outcome, a.Detail)
@@ -91,6 +93,28 @@
 // Guards against an entry that starts while a primary leaves and counts its drain time anew.
 func TestPrimaryThatWasLeavingAtTheStartGetsNoWork(t *testing.T) {
 	d := newDatabases("a", "b")
-	c, _ := newDrainingEntry(t, d, leavingRoster(d)).open("orders", "key")
+	c, _ := newDrainingEntry(t, d, leavingRoster(d, time.Time{})).open("orders", "key")
+	checkRefusedAtOnce(t, d, c)
+}
+
+// Guards against an entry that counts the drain time from when it hears that a primary leaves: one that stood still hears of it late.
+func TestDrainTimeBeginsWithTheAnnouncement(t *testing.T) {
+	d := newDatabases("a", "b")
+	e := newDrainingEntry(t, d, newRoster(d))
+	c, _ := e.open("orders", "key")
+	began := time.Now().Add(-testDrainTime / 2)
+	e.SetRoster(leavingRoster(d, began))
+	if a := c.execute("w1", statement.Write, "WRITE x 1"); a.Outcome != statement.Done {
+		t.Errorf("within the drain time a write was answered with %q: %s", a.Outcome, a.Detail)
+	}
+	// A later leader does not know since when the primary has been leaving, and another one may have heard of it later.
+	e.SetRoster(leavingRoster(d, time.Time{}))
+	e.SetRoster(leavingRoster(d, time.Now()))
+	time.Sleep(time.Until(began.Add(testDrainTime)))
 	checkRefusedAtOnce(t, d, c)
+	e.SetRoster(newRoster(d))
+	e.SetRoster(leavingRoster(d, time.Now()))
+	if a := c.execute("w2", statement.Write, "WRITE x 2"); a.Outcome != statement.Done {
+		t.Errorf("when the primary leaves a second time, a write was answered with %q: %s", a.Outcome, a.Detail)
+	}
 }
--- a/entry/proxy/pool.go
+++ b/entry/proxy/pool.go
@@ -90,7 +90,7 @@
 	meanServiceTime time.Duration
 	closed          bool
 	replaced        bool
-	// leavingSince is when the server was first seen to leave; zero if it has not, or if it was leaving already when it became known.
+	// leavingSince is when the server began to leave; zero if it is not leaving, or if that is not known.
 	leavingSince time.Time
 	// noConnectUntil is the time before which no connection is opened, because the database refused one.
 	noConnectUntil time.Time
@@ -109,7 +109,10 @@
 }
 
 func newPool(server fleet.Server, connector database.Connector, now func() time.Time, maxOpen, maxRunning int) *pool {
-	return &pool{server: server, connector: connector, now: now, maxOpen: maxOpen, maxRunning: maxRunning, meanServiceTime: initialServiceTime, queue: newWorkQueue()}
+	return &pool{
+		server: server, connector: connector, now: now, maxOpen: maxOpen, maxRunning: maxRunning, meanServiceTime: initialServiceTime,
+		queue: newWorkQueue(), leavingSince: server.LeavingSince,
+	}
 }
 
 // acquire returns a connection for a workspace once the work may run. It waits in the queue for at most work.MaxQueueWait.
@@ -365,8 +368,11 @@
 func (p *pool) setServer(server fleet.Server) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if server.Leaving && !p.server.Leaving && p.leavingSince.IsZero() {
-		p.leavingSince = p.now()
+	switch {
+	case !server.Leaving || !p.server.Leaving:
+		p.leavingSince = server.LeavingSince
+	case !server.LeavingSince.IsZero() && (p.leavingSince.IsZero() || server.LeavingSince.Before(p.leavingSince)):
+		p.leavingSince = server.LeavingSince
 	}
 	p.server.Primary, p.server.Leaving, p.server.Cold = server.Primary, server.Leaving, server.Cold
 }
--- a/entry/renewal/agent.go
+++ b/entry/renewal/agent.go
@@ -258,6 +258,7 @@
 		a.cfg.State.SetPolicy(next)
 	}
 	if reply.Roster != nil {
+		reply.Roster.SetLeavingSince(sent)
 		a.applyRoster(*reply.Roster)
 	}
 	if current := a.cfg.State.Policy(); current != nil && current.Version >= reply.Version && reply.Version > 0 {
--- a/lentilwind/fleet/fleet.go
+++ b/lentilwind/fleet/fleet.go
@@ -49,6 +49,11 @@
 	Slots int `cbor:"10,keyasint,omitempty"`
 	// Cold servers have started recently and are slow; their service may bound what they get.
 	Cold bool `cbor:"11,keyasint,omitempty"`
+	// LeavingFor is how long a leaving server had been leaving when control sent it to an entry; 0 means that control does not know.
+	LeavingFor time.Duration `cbor:"12,keyasint,omitempty"`
+	// LeavingSince is the latest time at which a leaving server can have begun to leave, by the clock of the entry that has received it; zero
+	// means that the entry does not know.
+	LeavingSince time.Time `cbor:"-"`
 }
 
 // Supersedes reports whether an announcement is newer than another one of the same server.
@@ -79,6 +84,16 @@
 	RemovedEntries []inventory.InstanceName `cbor:"7,keyasint,omitempty"`
 }
 
+// SetLeavingSince sets the times since which the servers have been leaving. The roster is the answer to a request that was sent at the given
+// time, so it cannot be older than that.
+func (r *Roster) SetLeavingSince(requested time.Time) {
+	for i := range r.Servers {
+		if s := &r.Servers[i]; s.Leaving && s.LeavingFor > 0 {
+			s.LeavingSince = requested.Add(-s.LeavingFor)
+		}
+	}
+}
+
 // Entry is one live entry as it reports itself.
 type Entry struct {
 	Name       inventory.InstanceName `cbor:"1,keyasint"`
--- a/lentilwind/fleet/fleet_test.go
+++ b/lentilwind/fleet/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"testing"
+	"time"
 
 	"lentilwind.dev/lentilwind/fleet"
 )
@@ -43,3 +44,17 @@
 		t.Error("a damaged document was decompressed without an error")
 	}
 }
+
+// Guards against drain times that begin when an entry hears of them: its clock starts at the announcement, and never after it.
+func TestSetLeavingSince(t *testing.T) {
+	requested := time.Now()
+	roster := fleet.Roster{Servers: []fleet.Server{
+		{Name: "known", Leaving: true, LeavingFor: 3 * time.Second}, {Name: "unknown", Leaving: true}, {Name: "staying", LeavingFor: time.Second},
+	}}
+	roster.SetLeavingSince(requested)
+	for i, want := range []time.Time{requested.Add(-3 * time.Second), {}, {}} {
+		if got := roster.Servers[i].LeavingSince; !got.Equal(want) {
+			t.Errorf("%s has been leaving since %v, want %v", roster.Servers[i].Name, got, want)
+		}
+	}
+}
