platform, control: a configuration that lacks a part is refused

Cause: an absent list of tenants was taken to mean that the platform has none. Other absent parts were taken for empty ones and dropped all routes.

Inventories on the PostgreSQL side that lack a part are refused when they are sent.

--- a/control/internal/command/fleet_test.go
+++ b/control/internal/command/fleet_test.go
@@ -326,6 +326,7 @@
   // Number %d.
   "regions": [{"name": "andina", "dataCentres": ["raquira"]}],
   "instances": [{"name": "entry-1", "dataCentre": "raquira"}],
+  "services": [], "routes": [],
   "workspaces": [{"name": "w1", "rate": %d, "burst": 20, "keys": []}],
 }`, number, number+1)
 }
--- a/control/internal/command/members_test.go
+++ b/control/internal/command/members_test.go
@@ -20,6 +20,7 @@
 	return fmt.Sprintf(`{
   "regions": [{"name": "andina", "dataCentres": ["raquira"]}],
   "instances": [{"name": "entry-1", "dataCentre": "raquira"}, {"name": "entry-2", "dataCentre": "raquira"}, {"name": "entry-3", "dataCentre": "raquira"}],
+  "workspaces": [], "routes": [],
   "services": [{"name": "inventario-1", "slots": 2, "connections": 20, "databases": [%s]}],
 }`, strings.Join(databases, ", "))
 }
--- a/control/internal/operator/inventory.go
+++ b/control/internal/operator/inventory.go
@@ -76,7 +76,7 @@
 	if len(body.Document) > maxDocumentBytes {
 		return nil, invalidRequest(fmt.Sprintf("the document has %d bytes; the most is %d", len(body.Document), maxDocumentBytes))
 	}
-	next, err := inventory.Read([]byte(body.Document))
+	next, err := inventory.ReadComplete([]byte(body.Document))
 	var problems *jsonc.Error
 	if errors.As(err, &problems) {
 		return nil, refusedError(problems.Problems)
--- a/lentilctl/internal/command/inventory.go
+++ b/lentilctl/internal/command/inventory.go
@@ -40,7 +40,7 @@
 			if err != nil {
 				return err
 			}
-			inv, err := inventory.Read(data)
+			inv, err := inventory.ReadComplete(data)
 			if err != nil {
 				return err
 			}
@@ -94,7 +94,7 @@
 			if err != nil {
 				return err
 			}
-			if _, err := inventory.Read(data); err != nil {
+			if _, err := inventory.ReadComplete(data); err != nil {
 				return err
 			}
 			ctx, cancel, c, err := a.connect(cmd.Context())
--- a/lentilwind/inventory/inventory_test.go
+++ b/lentilwind/inventory/inventory_test.go
@@ -62,6 +62,21 @@
 	}
 }
 
+// Guards against a document that was cut short or of which a part was forgotten, which would take out of force what it does not list.
+func TestReadCompleteRefusesMissingParts(t *testing.T) {
+	if _, err := inventory.ReadComplete([]byte(sample)); err != nil {
+		t.Errorf("a complete document: %v", err)
+	}
+	_, err := inventory.ReadComplete([]byte(`{"regions": [], "instances": [], "services": [], "routes": null}`))
+	var refused *jsonc.Error
+	if !errors.As(err, &refused) || len(refused.Problems) != 2 {
+		t.Errorf("without workspaces and routes: %v", err)
+	}
+	if _, err := inventory.Read([]byte(`{"regions": []}`)); err != nil {
+		t.Errorf("a document that was accepted before: %v", err)
+	}
+}
+
 func TestApplyingDiffYieldsNewInventory(t *testing.T) {
 	old, err := inventory.Read([]byte(sample))
 	if err != nil {
