--- a/control/coordinator/primaries.go
+++ b/control/coordinator/primaries.go
@@ -284,11 +284,11 @@
 	}
 }
 
-// newOrder returns the order to promote a candidate.
+// newOrder returns the order to promote a candidate. The newest term may be one that control has not seen and that left no commit.
 func (p *primaryMonitor) newOrder(best candidate, monitored *monitoredService) succession.Order {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return succession.Order{Server: best.server.Name, After: max(monitored.newestTerm, best.Received.Term)}
+	return succession.Order{Server: best.server.Name, After: max(monitored.newestTerm, best.Term, best.Received.Term)}
 }
 
 // setOrdered records an order that is about to be sent, and returns the previous one, which is restored if the order is refused.
--- a/control/coordinator/probe.go
+++ b/control/coordinator/probe.go
@@ -110,6 +110,8 @@
 type replicaStatus struct {
 	Known    bool
 	Received group.Floor
+	// Term is the term in which the replica follows or leads; 0 if it has not reported it.
+	Term group.Term
 	// AtLeast means that the replica did not report the end of its log, and that Received is only a lower bound of it.
 	AtLeast bool
 	// Leads means that the database considers itself the primary.
@@ -131,7 +133,7 @@
 	if answer.Report == nil {
 		return replicaStatus{Known: true, Received: answer.Position, AtLeast: true}
 	}
-	return replicaStatus{Known: true, Received: answer.Report.Received, Leads: answer.Report.Primary}
+	return replicaStatus{Known: true, Received: answer.Report.Received, Term: answer.Report.Term, Leads: answer.Report.Primary}
 }
 
 // queryExactStatus is like queryReplicaStatus, but asks a busy database for the end of its log with a statement that takes no slot: a
