--- a/entry/proxy/drain_test.go
+++ b/entry/proxy/drain_test.go
@@ -1,6 +1,9 @@
 package proxy_test
 
 import (
+	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -118,3 +121,33 @@
 		t.Errorf("when the primary leaves a second time, a write was answered with %q: %s", a.Outcome, a.Detail)
 	}
 }
+
+// Guards against work that waits for its turn at a primary that leaves, and is sent after the drain time.
+func TestWaitingWorkIsNotSentAfterTheDrainTime(t *testing.T) {
+	const crowd, readTime = 60, 40 * time.Millisecond
+	d := newDatabases("a")
+	d.update(func(s map[group.Server]*server) { s["a"].slow = readTime })
+	e := newDrainingEntry(t, d, newRoster(d))
+	e.SetPolicy(prioritizedPolicy(t))
+	began := time.Now()
+	e.SetRoster(leavingRoster(d, began))
+	var callers sync.WaitGroup
+	var refused atomic.Int64
+	for n := range crowd {
+		c, _ := e.open("patient", "")
+		callers.Go(func() {
+			if c.execute(statement.ID(fmt.Sprint(n)), statement.Read, "READ x").Outcome == statement.Busy {
+				refused.Add(1)
+			}
+		})
+	}
+	time.Sleep(time.Until(began.Add(testDrainTime + readTime/2)))
+	before := d.executedBy("a")
+	callers.Wait()
+	if n := d.executedBy("a") - before; n > 0 {
+		t.Errorf("%d statements were sent after the drain time", n)
+	}
+	if refused.Load() == 0 {
+		t.Error("no request was waiting when the drain time ended")
+	}
+}
--- a/entry/proxy/executor.go
+++ b/entry/proxy/executor.go
@@ -49,8 +49,8 @@
 	}))
 }
 
-// runLocal runs work on a connection of this entry. Nothing is sent to a server whose data centre is evacuated, also if the entry that
-// forwarded the work does not know of the evacuation yet.
+// runLocal runs work on a connection of this entry. Nothing is sent to a server whose data centre is evacuated or whose drain time is over,
+// also if the entry that forwarded the work does not know of it yet. That is checked again after the wait for a connection.
 func (p *Proxy) runLocal(work forward.Work) forward.Result {
 	deadline := p.cfg.Now().Add(work.Timeout)
 	if work.HeldConnection != 0 {
@@ -64,11 +64,8 @@
 	if pool == nil {
 		return failureResult(forward.NotSent, "the server is not known")
 	}
-	if p.withdrawn(pool.server) {
-		return failureResult(forward.NotSent, evacuatedDetail)
-	}
-	if pool.drained(p.cfg.Now(), p.cfg.DrainTime) {
-		return failureResult(forward.NotSent, errDrained.Error())
+	if refusal := p.refusesNewWork(pool); refusal != "" {
+		return failureResult(forward.NotSent, refusal)
 	}
 	conn, err := pool.acquire(work)
 	if err != nil {
@@ -76,9 +73,9 @@
 		result.Load = pool.localWorkCount()
 		return result
 	}
-	if p.withdrawn(pool.server) {
+	if refusal := p.refusesNewWork(pool); refusal != "" {
 		conn.release()
-		return failureResult(forward.NotSent, evacuatedDetail)
+		return failureResult(forward.NotSent, refusal)
 	}
 	result := p.runOnConn(conn, work, deadline)
 	if result.HeldConnection == 0 {
@@ -90,6 +87,18 @@
 	return result
 }
 
+// refusesNewWork returns why no new work may be sent to a server, or "" if it may.
+func (p *Proxy) refusesNewWork(pool *pool) string {
+	switch {
+	case p.withdrawn(pool.server):
+		return evacuatedDetail
+	case pool.drained(p.cfg.Now(), p.cfg.DrainTime):
+		return errDrained.Error()
+	default:
+		return ""
+	}
+}
+
 // runOnHeldConn runs work on the connection of an open transaction.
 func (p *Proxy) runOnHeldConn(work forward.Work, deadline time.Time) forward.Result {
 	conn, refusal := p.held.checkOut(work.HeldConnection, work.Workspace)
