platform, entry: a deployment without keys serves its routes without a lease

Cause: without a lease an entry accepts no key. In a deployment whose contracts have no tenants, what callers send as a key has no meaning and can't be withdrawn, so an entry that has lost control would refuse for no reason.

Change: such a policy says that it is keyless. The reason why an order must hold stands with the function that makes it hold.

--- a/control/coordinator/synchronous.go
+++ b/control/coordinator/synchronous.go
@@ -8,15 +8,14 @@
 	"lentilwind.dev/lentilwind/succession"
 )
 
-// Where replicas confirm commits, an order rests on the log of the chosen replica: no commit may be acknowledged without it, from the choice
-// until the order is carried out, which may be seconds later. So the other replicas stop receiving, or the primary is stopped, before the
-// order is sent.
-
 // resumeInterval is the time between two attempts to let servers receive again.
 const resumeInterval = 500 * time.Millisecond
 
-// chooseFenced chooses the server to promote and makes sure that no commit is acknowledged without it from then on. It reports whether the
-// former primary was stopped for that, and false if no server may be ordered now.
+// chooseFenced chooses the server to promote where replicas confirm commits. It reports whether the former primary was stopped, and false if no
+// server may be ordered now.
+//
+// An order rests on the log of the chosen server: no commit may be acknowledged without it, from the choice until the order is carried out,
+// which may be seconds later. So the other replicas are stopped from receiving, or else a leaving primary is stopped, before the order is sent.
 func (p *primaryMonitor) chooseFenced(
 	servers []serverRecord, former group.Server, monitored *monitoredService, reason succession.Reason,
 ) (best candidate, stopped, found bool) {
--- a/entry/proxy/session.go
+++ b/entry/proxy/session.go
@@ -159,7 +159,7 @@
 func (s *session) checkKey(current *policy.Policy, route *policy.Route) (*policy.Workspace, statement.Answer, bool) {
 	workspace := current.WorkspacesByKey[s.key]
 	switch {
-	case route.AllowAnonymous && s.key == "":
+	case route.AllowAnonymous && (s.key == "" || current.Keyless):
 		return nil, statement.Answer{}, true
 	case !s.proxy.hasLease():
 		return nil, statement.FailureAnswer(statement.Busy, "cut off from control; keys cannot be checked", statement.Idle), false
--- a/lentilwind/policy/policy.go
+++ b/lentilwind/policy/policy.go
@@ -85,6 +85,8 @@
 	WorkspaceList []*Workspace
 	// TransactionIdleTimeout bounds how long a transaction may stay idle.
 	TransactionIdleTimeout time.Duration
+	// Keyless means that the deployment has no keys, so that what callers send as one has no meaning and can't be withdrawn.
+	Keyless bool
 }
 
 // Workspace is a customer with its keys, rate limit and priority.
@@ -125,6 +127,9 @@
 	b.policy.TransactionIdleTimeout = limit
 }
 
+// SetKeyless declares that the deployment has no keys.
+func (b *Builder) SetKeyless() { b.policy.Keyless = true }
+
 // AddService adds a service.
 func (b *Builder) AddService(s Service) {
 	if s.Name == "" || b.policy.Services[s.Name] != nil {
