control: the announcement that a database leaves waits for the next leader

What callers saw: nothing.

Cause: since a leaving is stored before it is acknowledged, an election fails the announcement, and the database may stop without an acknowledgement.

Change: such an announcement waits up to 0.8 s for a leader; databases wait a second. Other announcements are refused at once as before, since they are repeated anyway.

Evidence: TestLeavingWaitsForTheNextLeader failed before the change: it was answered at once.

--- a/control/coordinator/leadership.go
+++ b/control/coordinator/leadership.go
@@ -413,7 +413,7 @@
 	if !found {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, recordLeavingTimeout)
+	ctx, cancel := context.WithTimeout(ctx, leavingTimeout)
 	defer cancel()
 	if _, err := l.c.propose(ctx, command{Servers: []fleet.Server{leaving}}); err != nil {
 		l.c.cfg.Log.Warn().Err(err).Msg("rosterNotRecorded")
@@ -422,9 +422,6 @@
 	return nil
 }
 
-// recordLeavingTimeout limits the time in which it is stored that a database leaves. Databases wait a second for the acknowledgement.
-const recordLeavingTimeout = 700 * time.Millisecond
-
 // errNotLeading means that this process is not the leader.
 var errNotLeading = errors.New("coordinator: this process does not lead")
 
--- a/control/coordinator/leaving_test.go
+++ b/control/coordinator/leaving_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"lentilwind.dev/control/coordinator"
+	"lentilwind.dev/instance/logs"
 	"lentilwind.dev/instance/peer"
 	"lentilwind.dev/lentilwind/fleet"
 )
@@ -74,3 +76,22 @@
 		t.Errorf("a new leader says that a database has been leaving for %v, which it can't know", s.LeavingFor)
 	}
 }
+
+// Guards against a database that leaves, finds no leader during an election, and stops without an acknowledgement.
+func TestLeavingWaitsForTheNextLeader(t *testing.T) {
+	c := coordinator.New(coordinator.Config{
+		Instance: "control", Address: "127.0.0.1:9", RereadSeeds: func() []string { return nil }, DecodePolicy: decodePolicy,
+		Client: peer.NewClient("control"), Log: logs.Discard(), Now: time.Now,
+	})
+	leaving := fleet.Server{Name: "a", Service: "stock", Address: "127.0.0.1:5000", DataCentre: "near", Incarnation: 1, Sequence: 1, Leaving: true, Slots: 3}
+	start := time.Now()
+	if err := c.Announce(context.Background(), leaving); err == nil || time.Since(start) < 500*time.Millisecond {
+		t.Errorf("without a leader, the leaving of a database was answered after %v: %v", time.Since(start), err)
+	}
+	staying := leaving
+	staying.Leaving = false
+	start = time.Now()
+	if err := c.Announce(context.Background(), staying); err == nil || time.Since(start) > 500*time.Millisecond {
+		t.Errorf("without a leader, an announcement was answered after %v: %v", time.Since(start), err)
+	}
+}
--- a/control/coordinator/service.go
+++ b/control/coordinator/service.go
@@ -63,10 +63,42 @@
 
 // Announce passes a database's announcement to the leader; a nil error means that the leader has recorded it, and protocol.ErrInvalidAnnouncement
 // that it can't be recorded.
+//
+// A database that leaves waits for the acknowledgement and stops without one if none comes. So its announcement waits for the next leader,
+// while others are repeated anyway.
 func (c *Coordinator) Announce(ctx context.Context, s fleet.Server) error {
 	if err := s.Check(); err != nil {
 		return err
 	}
+	if !s.Leaving {
+		return c.announceOnce(ctx, s)
+	}
+	ctx, cancel := context.WithTimeout(ctx, leavingTimeout)
+	defer cancel()
+	for {
+		changed := c.changed.watch()
+		err := c.announceOnce(ctx, s)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-time.After(leavingRetryInterval):
+		case <-ctx.Done():
+			return err
+		}
+	}
+}
+
+// Databases wait a second for an acknowledgement.
+const (
+	// leavingTimeout limits the time in which it is acknowledged that a database leaves.
+	leavingTimeout = 800 * time.Millisecond
+	// leavingRetryInterval is the longest time until the leader is asked again.
+	leavingRetryInterval = 50 * time.Millisecond
+)
+
+func (c *Coordinator) announceOnce(ctx context.Context, s fleet.Server) error {
 	if err := c.leader.announceServer(ctx, s); !errors.Is(err, errNotLeading) {
 		return err
 	}
