succession: of equal logs the one that answered first is chosen again

Cause: chose the first by name of equal logs, instead of the one that answered first. Who answers first is near and has work to spare.

Change: candidates are kept in the order of their answers. A server that was ordered already is still preferred among equals, so that a second attempt names the same one.

--- a/lentilwind/succession/successor.go
+++ b/lentilwind/succession/successor.go
@@ -23,7 +23,8 @@
 //
 // A log that ends in an older term may lack commits of the newest one, and hold some that it has left out. So it is chosen only if no
 // silent candidate may still have the newest log, whether its term was seen or it was ordered to lead one and nobody saw the result. A
-// candidate of which only a lower bound is known may have it too. ChooseSuccessor returns false if no candidate should be promoted now.
+// candidate of which only a lower bound is known may have it too. Of equal logs the first one is chosen, so the candidates should stand in the
+// order of their answers: who answers first is near and has work to spare. ChooseSuccessor returns false if no candidate should be promoted now.
 func ChooseSuccessor(newest group.Term, ordered Order, candidates []Candidate) (Candidate, bool) {
 	var best Candidate
 	for _, c := range candidates {
@@ -53,10 +54,8 @@
 		return b.Received.Less(a.Received)
 	case a.AtLeast != b.AtLeast:
 		return a.AtLeast
-	case (a.Server == ordered.Server) != (b.Server == ordered.Server):
-		return a.Server == ordered.Server
 	default:
-		return a.Server < b.Server
+		return a.Server == ordered.Server
 	}
 }
 
