control: a primary that answers again is stopped before the order

Cause: all processes stood still for seconds, so control took the primary for silent. When they went on it chose a replica and sent the order without stopping the primary, which went on confirming commits with the other replica: where replicas can't be suspended, only a primary that leaves was stopped. The decision that it is silent had outlived what it rested on.

TestPrimaryThatAnswersAgainIsStoppedBeforeTheOrder failed before the change ("they lacked 288 acknowledged commits") and passes with it.

Change: whatever the reason, the primary is asked to stop if the replicas can't be suspended, and the ends of the logs are read again if it has. A primary that leaves must stop; one that does not answer is replaced all the same. Only services with syncReplicas are concerned.

--- a/control/coordinator/group_test.go
+++ b/control/coordinator/group_test.go
@@ -45,6 +45,8 @@
 	orderDelay time.Duration
 	refuse     bool
 	orders     []group.Server
+	// returnsWhenAsked makes a database that hides from control come back when control asks another one for its status.
+	returnsWhenAsked group.Server
 	// noSuspend makes the databases refuse SUSPEND and RESUME as unknown.
 	noSuspend bool
 }
@@ -221,6 +223,9 @@
 	case statement.Rollback:
 		return statement.Answer{Outcome: statement.Done}
 	case statement.Status:
+		if back := g.databases[g.returnsWhenAsked]; back != nil {
+			back.hidden = false
+		}
 		if d.busy {
 			return statement.Answer{Outcome: statement.Busy}
 		}
--- a/control/coordinator/promotion_test.go
+++ b/control/coordinator/promotion_test.go
@@ -77,6 +77,19 @@
 	stop()
 }
 
+// Guards against the same when the replicas can't be suspended: control decided that the primary is silent before it came back.
+func TestPrimaryThatAnswersAgainIsStoppedBeforeTheOrder(t *testing.T) {
+	g := newDatabaseGroup("a", "b", "c")
+	g.orderDelay, g.noSuspend, g.returnsWhenAsked = lateOrderDelay, true, "a"
+	startControl(t, g, t.TempDir())
+	g.update("a", func(a *memoryDatabase) { a.hidden = true })
+	ordered := g.awaitOrder(t)
+	g.update(ordered, func(d *memoryDatabase) { d.deaf = true })
+	stop := g.startCommitting(t)
+	g.awaitPromotion(t, ordered)
+	stop()
+}
+
 // Guards against a primary that can't commit any more because its replicas were stopped for an order that the platform has refused.
 func TestReplicasReceiveAgainAfterARefusedOrder(t *testing.T) {
 	g := newDatabaseGroup("a", "b", "c")
--- a/control/coordinator/synchronous.go
+++ b/control/coordinator/synchronous.go
@@ -15,7 +15,8 @@
 // server may be ordered now.
 //
 // An order rests on the log of the chosen server: no commit may be acknowledged without it, from the choice until the order is carried out,
-// which may be seconds later. So the other replicas are stopped from receiving, or else a leaving primary is stopped, before the order is sent.
+// which may be seconds later. So the other replicas are stopped from receiving, or else the primary is stopped, before the order is sent. A
+// primary that does not answer can't be stopped; it is replaced all the same.
 func (p *primaryMonitor) chooseFenced(
 	servers []serverRecord, former group.Server, monitored *monitoredService, reason succession.Reason,
 ) (best candidate, stopped, found bool) {
@@ -24,20 +25,20 @@
 		return best, false, false
 	}
 	newest, fenced := p.suspendOthers(servers, best, former, monitored)
-	if reason == succession.ReasonLeaving && !fenced && p.mayStop(servers, former) {
-		p.mu.Lock()
-		pr := monitored.probe
-		p.mu.Unlock()
-		if pr == nil || pr.target.Server != former {
-			return best, false, false
-		}
-		if newest, stopped = p.stopPrimary(pr, former); !stopped {
-			return best, false, false
+	if fenced || !p.mayStop(servers, former) {
+		return best, false, p.awaitReceived(best, newest, monitored)
+	}
+	p.mu.Lock()
+	pr := monitored.probe
+	p.mu.Unlock()
+	// A primary that was silent may answer again by now, and then it must stop like one that leaves.
+	if pr != nil && pr.target.Server == former {
+		if end, stopped := p.stopPrimary(pr, former); stopped {
+			best, found = p.chooseSuccessor(servers, former, monitored, reason, end)
+			return best, true, found
 		}
-		best, found = p.chooseSuccessor(servers, former, monitored, reason, newest)
-		return best, true, found
 	}
-	return best, false, p.awaitReceived(best, newest, monitored)
+	return best, false, reason != succession.ReasonLeaving && p.awaitReceived(best, newest, monitored)
 }
 
 // suspendOthers makes the replicas other than the chosen one stop receiving, and returns the newest position at which one of them did. The
